--- /dev/null
+++ b/src/base/ini.cpp
@@ -0,0 +1,301 @@
+#include "base/ini.h"
+
+#include "base/text.h"
+
+#include <absl/strings/str_cat.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace Parsleytrail
+{
+
+// [SECTION] Parsing
+
+namespace
+{
+
+/// State of one parse; handed to inih's callbacks.
+struct Parse {
+    std::string_view rest;             ///< text not read yet
+    int line = 0;                      ///< line last handed to inih
+    IniFile file;                      ///< result
+    std::vector<IniProblem> *problems; ///< where problems go
+};
+
+void addProblem(Parse &parse, const std::string &section, const std::string &key, std::string text)
+{
+    parse.problems->push_back({section, key, parse.line, std::move(text)});
+}
+
+bool hasControlCharacter(std::string_view line)
+{
+    return std::any_of(line.begin(), line.end(), [](char c) {
+        return (static_cast<unsigned char>(c) < 0x20 && c != '\t' && c != '\r') || c == 0x7f;
+    });
+}
+
+/// Opens a section at its header, so that empty and repeated sections are seen.
+void noteHeader(Parse &parse, std::string_view line)
+{
+    const std::string_view header = trimmed(line);
+    if (!header.starts_with('[')) {
+        return;
+    }
+    const std::size_t end = header.find(']');
+    if (end == std::string_view::npos) {
+        return; // inih reports it
+    }
+    const std::string name(header.substr(1, end - 1));
+    for (const IniSection &section : parse.file.sections) {
+        if (section.name == name) {
+            addProblem(parse, name, "", absl::StrCat("expected one section of this name; the first is at line ", section.line));
+        }
+    }
+    parse.file.sections.push_back({name, parse.line, {}});
+}
+
+/// fgets for inih: counts lines, and refuses what inih's buffer would cut silently.
+char *readLine(char *buffer, int size, void *stream)
+{
+    auto &parse = *static_cast<Parse *>(stream);
+    if (parse.rest.empty()) {
+        return nullptr;
+    }
+    ++parse.line;
+    const std::size_t end = parse.rest.find('\n');
+    std::string_view line = parse.rest.substr(0, end);
+    parse.rest = end == std::string_view::npos ? std::string_view() : parse.rest.substr(end + 1);
+    const std::size_t limit = std::min<std::size_t>(maxIniLineBytes, static_cast<std::size_t>(size) - 2);
+    if (line.size() > limit) {
+        addProblem(parse, "", "", absl::StrCat("expected at most ", limit, " bytes in a line"));
+        line = "";
+    }
+    if (hasControlCharacter(line)) {
+        addProblem(parse, "", "", "expected printable text, found a control character");
+        line = "";
+    }
+    noteHeader(parse, line);
+    std::memcpy(buffer, line.data(), line.size());
+    buffer[line.size()] = '\n';
+    buffer[line.size() + 1] = '\0';
+    return buffer;
+}
+
+int takeEntry(void *user, const char *section, const char *name, const char *value)
+{
+    auto &parse = *static_cast<Parse *>(user);
+    if (parse.file.sections.empty()) {
+        addProblem(parse, section, name, "expected a [section] before the first key");
+        return 1;
+    }
+    IniSection &current = parse.file.sections.back();
+    for (const IniEntry &entry : current.entries) {
+        if (entry.key == name) {
+            addProblem(parse, current.name, name, absl::StrCat("expected the key once; it stands at line ", entry.line, " already"));
+            return 1;
+        }
+    }
+    current.entries.push_back({name, value, parse.line});
+    return 1;
+}
+
+} // namespace
+
+IniFile parseIni(std::string_view text, std::vector<IniProblem> &problems)
+{
+    Parse parse;
+    parse.rest = text;
+    parse.problems = &problems;
+    if (text.size() > maxIniBytes) {
+        addProblem(parse, "", "", absl::StrCat("expected at most ", maxIniBytes, " bytes"));
+        return {};
+    }
+    // inih keeps parsing past an error and returns the first bad line, which is all it tells.
+    const int badLine = ini_parse_stream(readLine, &parse, takeEntry, &parse);
+    if (badLine > 0) {
+        problems.push_back({"", "", badLine, "expected [section], key = value, or a comment that starts with ;"});
+    }
+    return std::move(parse.file);
+}
+
+IniSection findSection(const IniFile &file, const std::string &name)
+{
+    for (const IniSection &section : file.sections) {
+        if (section.name == name) {
+            return section;
+        }
+    }
+    return {name, 0, {}};
+}
+
+std::string canonicalText(const IniSection &section)
+{
+    std::vector<const IniEntry *> sorted;
+    for (const IniEntry &entry : section.entries) {
+        sorted.push_back(&entry);
+    }
+    std::sort(sorted.begin(), sorted.end(), [](const IniEntry *a, const IniEntry *b) {
+        return a->key < b->key;
+    });
+    std::string text = absl::StrCat("[", section.name, "]\n");
+    for (const IniEntry *entry : sorted) {
+        absl::StrAppend(&text, entry->key, " = ", entry->value, "\n");
+    }
+    return text;
+}
+
+std::string IniProblem::toString() const
+{
+    std::string where = line > 0 ? absl::StrCat("line ", line) : "file";
+    if (!section.empty()) {
+        absl::StrAppend(&where, ", [", section, "]");
+    }
+    if (!key.empty()) {
+        absl::StrAppend(&where, " ", key);
+    }
+    return absl::StrCat(where, ": ", text);
+}
+
+// [SECTION] Reading keys
+
+IniSectionReader::IniSectionReader(const IniSection &section, std::vector<IniProblem> &problems)
+    : m_section(section)
+    , m_problems(problems)
+{
+}
+
+const IniEntry *IniSectionReader::take(const char *key, bool required)
+{
+    m_known.emplace_back(key);
+    for (const IniEntry &entry : m_section.entries) {
+        if (entry.key == key) {
+            return &entry;
+        }
+    }
+    if (required) {
+        m_problems.push_back({m_section.name, key, m_section.line, "expected this key, it is required"});
+    }
+    return nullptr;
+}
+
+void IniSectionReader::problem(const IniEntry &entry, std::string text)
+{
+    m_problems.push_back({m_section.name, entry.key, entry.line, std::move(text)});
+}
+
+void IniSectionReader::string(const char *key, bool required, std::string &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    if (required && entry->value.empty()) {
+        problem(*entry, "expected a value");
+    }
+    out = entry->value;
+}
+
+void IniSectionReader::choice(const char *key, bool required, std::initializer_list<const char *> choices, std::string &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    out = entry->value;
+    if (std::find(choices.begin(), choices.end(), entry->value) == choices.end()) {
+        problem(*entry, "expected one of " + joined({choices.begin(), choices.end()}, ", "));
+    }
+}
+
+void IniSectionReader::integer(const char *key, bool required, std::int64_t min, std::int64_t max, std::int64_t &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    std::int64_t value = 0;
+    if (!parseNumber(entry->value, value) || value < min || value > max) {
+        problem(*entry, absl::StrCat("expected a whole number from ", min, " to ", max));
+        return;
+    }
+    out = value;
+}
+
+void IniSectionReader::number(const char *key, bool required, double min, double max, double &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    double value = 0;
+    if (!parseNumber(entry->value, value) || !(value >= min && value <= max)) {
+        problem(*entry, absl::StrCat("expected a number from ", min, " to ", max));
+        return;
+    }
+    out = value;
+}
+
+void IniSectionReader::boolean(const char *key, bool required, bool &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    if (entry->value != "true" && entry->value != "false") {
+        problem(*entry, "expected true or false");
+        return;
+    }
+    out = entry->value == "true";
+}
+
+void IniSectionReader::duration(const char *key, bool required, std::int64_t minMs, std::int64_t maxMs, milliseconds &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    std::string_view digits = entry->value;
+    std::int64_t unitMs = 0;
+    if (digits.ends_with("ms")) {
+        unitMs = 1;
+        digits.remove_suffix(2);
+    } else if (digits.ends_with("s")) {
+        unitMs = 1000;
+        digits.remove_suffix(1);
+    } else if (digits.ends_with("m")) {
+        unitMs = 60000;
+        digits.remove_suffix(1);
+    }
+    std::int64_t count = 0;
+    const bool isNumber = unitMs > 0 && parseNumber(digits, count) && count >= 0;
+    if (!isNumber || count > maxMs / unitMs || count * unitMs < minMs) {
+        problem(*entry, absl::StrCat("expected a duration such as 250ms, 2s or 1m, from ", minMs, "ms to ", maxMs, "ms"));
+        return;
+    }
+    out = milliseconds(count * unitMs);
+}
+
+void IniSectionReader::list(const char *key, bool required, std::vector<std::string> &out)
+{
+    const IniEntry *entry = take(key, required);
+    if (!entry) {
+        return;
+    }
+    out = splitList(entry->value, ',');
+    if (required && out.empty()) {
+        problem(*entry, "expected at least one value");
+    }
+}
+
+void IniSectionReader::refuseUnknown()
+{
+    for (const IniEntry &entry : m_section.entries) {
+        if (std::find(m_known.begin(), m_known.end(), entry.key) == m_known.end()) {
+            problem(entry, "expected one of " + joined(m_known, ", "));
+        }
+    }
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/base/ini.h
@@ -0,0 +1,82 @@
+// INI text into sections with line numbers, and checked reading of their keys.
+//
+// All problems of a text are collected, each with section, key and line, so that an operator mends a file in one go.
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Parsleytrail
+{
+
+/// A problem of an INI text.
+struct IniProblem {
+    std::string section; ///< section name, or empty
+    std::string key;     ///< key, or empty
+    int line = 0;        ///< from 1; 0 if it belongs to no line
+    std::string text;    ///< what was expected
+
+    /// "line 3, [service.chat] kind: expected ..."
+    std::string toString() const;
+};
+
+/// One key with its value.
+struct IniEntry {
+    std::string key;   ///< as written
+    std::string value; ///< without surrounding blanks
+    int line = 0;      ///< from 1
+};
+
+/// One section.
+struct IniSection {
+    std::string name;              ///< text between the brackets
+    int line = 0;                  ///< line of the header; 0 if the section is missing
+    std::vector<IniEntry> entries; ///< in the order of the text
+};
+
+/// A parsed text.
+struct IniFile {
+    std::vector<IniSection> sections; ///< in the order of the text
+};
+
+constexpr std::size_t maxIniBytes = 8u << 20;  ///< larger texts are refused
+constexpr std::size_t maxIniLineBytes = 4096; ///< longer lines are refused, never cut
+
+/// Parses a text. Repeated sections, repeated keys, keys before any section, over-long lines and control characters are problems.
+IniFile parseIni(std::string_view text, std::vector<IniProblem> &problems);
+/// The section, or an empty one with that name.
+IniSection findSection(const IniFile &file, const std::string &name);
+/// The section as text with sorted keys and no comments: equal settings give equal text.
+std::string canonicalText(const IniSection &section);
+
+/// Reads the keys of one section into fields; every call names one key.
+class IniSectionReader
+{
+public:
+    IniSectionReader(const IniSection &section, std::vector<IniProblem> &problems);
+
+    void string(const char *key, bool required, std::string &out);
+    void choice(const char *key, bool required, std::initializer_list<const char *> choices, std::string &out);
+    void integer(const char *key, bool required, std::int64_t min, std::int64_t max, std::int64_t &out);
+    void number(const char *key, bool required, double min, double max, double &out);
+    void boolean(const char *key, bool required, bool &out);
+    void duration(const char *key, bool required, std::int64_t minMs, std::int64_t maxMs, milliseconds &out);
+    void list(const char *key, bool required, std::vector<std::string> &out);
+    /// Adds a problem for each key that no call above has named.
+    void refuseUnknown();
+
+private:
+    const IniEntry *take(const char *key, bool required);
+    void problem(const IniEntry &entry, std::string text);
+
+    const IniSection &m_section;
+    std::vector<IniProblem> &m_problems;
+    std::vector<std::string> m_known;
+};
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,129 @@
+// parsleyctl: what operators run.
+#include "ctl/commands.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <map>
+
+ABSL_FLAG(std::string, entry, "", "operator port of an entry, host:port; default $PARSLEY_ENTRY or 127.0.0.1:8081");
+ABSL_FLAG(std::string, key_file, "", "file with the operators' credential; default $PARSLEY_OPERATOR_KEY");
+ABSL_FLAG(std::string, format, "text", "text or json");
+ABSL_FLAG(bool, dry_run, false, "apply: change nothing");
+ABSL_FLAG(bool, wait, false, "apply: wait until in force everywhere");
+ABSL_FLAG(uint64_t, at_version, 0, "apply: version to replace; wait: version to wait for");
+ABSL_FLAG(int, timeout, 60, "wait: longest wait, seconds");
+ABSL_FLAG(int, limit, 20, "history: rows");
+
+using namespace Parsleytrail;
+
+static constexpr const char *helpText = R"(parsleyctl: apply configuration files and see what is in force.
+
+Usage: parsleyctl [OPTIONS] COMMAND [FILE]
+
+Commands:
+  check FILE    check a configuration file, without any entry
+  diff FILE     what applying the file would change
+  apply FILE    check, show the changes, and apply the whole file
+  show          the configuration in force
+  history       accepted versions, newest first
+  status        entries, targets, coverage, versions
+  wait          wait until a version is in force everywhere; names the stragglers
+  dump          the state dump of the entry
+  version       version of this program
+
+Options:
+  --entry=HOST:PORT   operator port of an entry (default $PARSLEY_ENTRY, or 127.0.0.1:8081)
+  --key_file=FILE     file with the operators' credential (default $PARSLEY_OPERATOR_KEY)
+  --format=text|json  how to print
+  --dry_run           apply: check at the entry, change nothing
+  --wait              apply: wait until in force everywhere
+  --at_version=N      apply: replace exactly this version; wait: wait for this one
+  --timeout=SECONDS   wait: longest wait (default 60)
+  --limit=N           history: rows (default 20)
+
+Exit: 0 done, 1 refused, 2 wrong usage, 3 unreachable, 4 the outcome is not known.
+
+Examples:
+  parsleyctl check studio.ini
+  parsleyctl apply studio.ini --wait
+  parsleyctl status --format=json
+)";
+
+static std::string environment(const char *name, const char *fallback)
+{
+    const char *value = std::getenv(name);
+    return value ? value : fallback;
+}
+
+/// Fills in where to ask and as whom. Returns false, after saying why, if an option is wrong.
+static bool readTarget(CtlOptions &options)
+{
+    const std::string entry = absl::GetFlag(FLAGS_entry).empty() ? environment("PARSLEY_ENTRY", "127.0.0.1:8081") : absl::GetFlag(FLAGS_entry);
+    Error error;
+    const auto parse = [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(options.target.address, parseAddress(entry));
+        return {};
+    };
+    if (!runCatching(parse, error)) {
+        std::cerr << "--entry: " << error.toString() << '\n';
+        return false;
+    }
+    options.target.key = environment("PARSLEY_OPERATOR_KEY", "");
+    if (!absl::GetFlag(FLAGS_key_file).empty()) {
+        std::ifstream file(absl::GetFlag(FLAGS_key_file));
+        if (!std::getline(file, options.target.key)) {
+            std::cerr << "--key_file: cannot be read\n";
+            return false;
+        }
+    }
+    return true;
+}
+
+static int runCommand(const CtlOptions &options, const std::vector<std::string> &words)
+{
+    const std::map<std::string, std::function<int(const CtlOptions &, const std::string &)>> withFile = {{"check", runCheck}, {"apply", runApply}, {"diff", runDiff}};
+    const std::map<std::string, std::function<int(const CtlOptions &)>> alone = {{"show", runShow},     {"history", runHistory}, {"status", runStatus},
+                                                                                 {"wait", runWait},     {"dump", runDump},       {"version", runVersion}};
+    const bool hasCommand = !words.empty();
+    if (hasCommand && words.size() == 2 && withFile.count(words[0])) {
+        return withFile.at(words[0])(options, words[1]);
+    }
+    if (hasCommand && words.size() == 1 && alone.count(words[0])) {
+        return alone.at(words[0])(options);
+    }
+    std::cerr << "parsleyctl: expected a command" << (hasCommand ? ", found '" + words[0] + "' or the wrong number of files" : "") << "; see parsleyctl --help\n";
+    return ExitUsage;
+}
+
+int main(int argc, char **argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        if (std::strcmp(argv[i], "--help") == 0) {
+            std::cout << helpText;
+            return ExitDone;
+        }
+    }
+    const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
+    const std::string format = absl::GetFlag(FLAGS_format);
+    if (format != "text" && format != "json") {
+        std::cerr << "--format: expected text or json\n";
+        return ExitUsage;
+    }
+    CtlOptions options;
+    options.isJson = format == "json";
+    options.isDryRun = absl::GetFlag(FLAGS_dry_run);
+    options.waits = absl::GetFlag(FLAGS_wait);
+    options.version = absl::GetFlag(FLAGS_at_version);
+    options.waitFor = std::chrono::seconds(absl::GetFlag(FLAGS_timeout));
+    options.limit = absl::GetFlag(FLAGS_limit);
+    if (!readTarget(options)) {
+        return ExitUsage;
+    }
+    return runCommand(options, {rest.begin() + 1, rest.end()});
+}
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,467 @@
+// Index: [SECTION] Parts, [SECTION] Frames, [SECTION] Ticks, [SECTION] Views, [SECTION] Entry
+#include "entry/entry.h"
+
+#include "base/log.h"
+#include "entry/caller_api.h"
+#include "entry/operator_api.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+constexpr milliseconds tickInterval{50};
+constexpr milliseconds sidecarAnnounceInterval{10000}; ///< between announcements of an entry to its sidecars
+
+// [SECTION] Parts
+
+static Incarnation startOf(const Clock &clock)
+{
+    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(clock.wallTime().time_since_epoch()).count())};
+}
+
+struct Entry::Private {
+    EntrySettings settings;
+    EventLoop &loop;
+    const Clock &clock;
+    Incarnation incarnation;
+    Metrics metrics;
+    History history;
+    HttpClient client;
+    std::unique_ptr<LinkPool> links;
+    std::unique_ptr<EntryContext> context;
+    std::unique_ptr<Store> store;
+    std::unique_ptr<Targets> targets;
+    std::unique_ptr<Streams> streams;
+    std::unique_ptr<KeyedCalls> keys;
+    std::unique_ptr<ServiceCalls> calls;
+    std::unique_ptr<Completions> completions;
+    std::unique_ptr<ConfigurationKeeper> keeper;
+    std::unique_ptr<Datagrams> datagrams;
+    std::unique_ptr<Peers> peers;
+    std::unique_ptr<LinkServer> peerServer;
+    std::unique_ptr<CallerApi> callers;
+    std::unique_ptr<OperatorServer> operators;
+    Address peerAddress;
+    Address callerAddress;
+    Address operatorAddress;
+    Timer tickTimer;
+    Timer announceTimer;
+    Timer pollTimer;
+    Timer drainTimer;
+    TimePoint drainStartedAt{};
+    TimePoint nextSidecarAnnounce{};
+    std::function<void()> drained;
+
+    Private(EventLoop &eventLoop, const Clock &systemClock, EntrySettings entrySettings);
+    Result<void> makeParts();
+    void makeLinks();
+    void connectParts();
+    Result<void> listen();
+
+    bool takeFrame(const LinkPtr &link, const Frame &frame);
+    void takeDatagram(const Frame &frame);
+    void takePeer(const EntryAnnouncement &announcement);
+    void configurationChanged();
+
+    void tick();
+    void announce();
+    std::vector<Address> sidecarAddresses() const;
+    bool isReady() const;
+    std::size_t open() const;
+    void checkDrained();
+
+    json status() const;
+    json state() const;
+    void refreshMetrics();
+};
+
+Entry::Private::Private(EventLoop &eventLoop, const Clock &systemClock, EntrySettings entrySettings)
+    : settings(std::move(entrySettings))
+    , loop(eventLoop)
+    , clock(systemClock)
+    , incarnation(startOf(systemClock))
+    , history(systemClock, settings.id)
+    , client(eventLoop)
+    , tickTimer(eventLoop, [this] { tick(); })
+    , announceTimer(eventLoop, [this] { announce(); })
+    , pollTimer(eventLoop, [this] { keeper->poll(); })
+    , drainTimer(eventLoop, [this] { checkDrained(); })
+{
+}
+
+void Entry::Private::makeLinks()
+{
+    const LinkIdentity identity{{Role::Entry, settings.id, incarnation}, static_cast<std::uint16_t>(settings.wireVersion)};
+    LinkHandlers handlers;
+    handlers.onFrame = [this](const LinkPtr &link, const Frame &frame) {
+        return takeFrame(link, frame);
+    };
+    handlers.onClosed = [this](const LinkPtr &link, const Error &error) {
+        logEvent(Event::LinkLost, {{"peer", link->peerName()}, {"process", link->peer().process}, {"reason", error.text}});
+        streams->linkGone(link->peerName(), error);
+        calls->linkGone(link->peerName(), error);
+    };
+    links = std::make_unique<LinkPool>(loop, identity, handlers);
+    LinkHandlers incoming;
+    incoming.onFrame = handlers.onFrame;
+    incoming.onClosed = [](const LinkPtr &link, const Error &error) {
+        logEvent(Event::LinkLost, {{"peer", link->peer().process}, {"reason", error.text}});
+    };
+    peerServer = std::make_unique<LinkServer>(loop, identity, incoming);
+}
+
+Result<void> Entry::Private::makeParts()
+{
+    if (!settings.historyFile.empty() && !history.openFile(settings.historyFile)) {
+        return fail("open history", settings.historyFile, "cannot be written");
+    }
+    BOOST_LEAF_AUTO(platformAddress, parseAddress(settings.platform));
+    std::vector<Address> seeds;
+    for (const std::string &text : settings.entries) {
+        BOOST_LEAF_AUTO(seed, parseAddress(text));
+        seeds.push_back(seed);
+    }
+    makeLinks();
+    RetryBudget retries;
+    retries.share = static_cast<double>(settings.retryBudgetPercent) / 100;
+    context.reset(new EntryContext{loop, clock, settings, incarnation, *links, metrics, history, std::mt19937_64(std::random_device()()), retries});
+    StoreLimits limits;
+    limits.timeout = settings.storeTimeout;
+    limits.readsPerSecond = static_cast<double>(settings.storeReads);
+    limits.writesPerSecond = static_cast<double>(settings.storeWrites);
+    limits.burst = 2 * std::max(limits.readsPerSecond, limits.writesPerSecond);
+    store = std::make_unique<Store>(loop, clock, client, platformAddress, limits);
+    targets = std::make_unique<Targets>(*context);
+    streams = std::make_unique<Streams>(*context, *targets);
+    keys = std::make_unique<KeyedCalls>(*context, *store);
+    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys);
+    completions = std::make_unique<Completions>(*context, *streams);
+    keeper = std::make_unique<ConfigurationKeeper>(*context, *store);
+    datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame) {
+        takeDatagram(frame);
+    });
+    peers = std::make_unique<Peers>(*context, *store, *datagrams, std::move(seeds), [this](EntryAnnouncement &announcement) {
+        announcement.state = context->isDraining ? TargetState::Draining : isReady() ? TargetState::Ready : TargetState::Joining;
+        announcement.configuration = keeper->inForce().version;
+    });
+    connectParts();
+    return {};
+}
+
+void Entry::Private::connectParts()
+{
+    targets->onGone([this](const TargetId &target) {
+        streams->targetGone(target);
+    });
+    targets->onUsable([this] {
+        streams->targetsChanged();
+    });
+    targets->onOldConfiguration([this](const LinkPtr &link, ConfigurationVersion known) {
+        keeper->sendTo(link, known, SectionScope::WithoutWorkspaces);
+    });
+    keeper->onChanged([this] {
+        configurationChanged();
+    });
+    peers->onHeard([this](const EntryAnnouncement &announcement) {
+        takePeer(announcement);
+    });
+    peers->onLeaving([this](const std::vector<TargetId> &leaving) {
+        targets->markLeaving(leaving);
+    });
+    callers = std::make_unique<CallerApi>(
+        *context, *completions, *calls,
+        [this]() -> const Configuration & {
+            return keeper->inForce();
+        },
+        [this] {
+            return isReady();
+        });
+    OperatorViews views;
+    views.state = [this] { return state().dump(); };
+    views.status = [this] { return status().dump(); };
+    views.refreshMetrics = [this] { refreshMetrics(); };
+    views.metrics = &metrics;
+    views.isReady = [this] { return isReady(); };
+    operators = std::make_unique<OperatorServer>(loop, settings.operatorKeyDigest, views);
+    addConfigurationPaths(*operators, *keeper);
+}
+
+Result<void> Entry::Private::listen()
+{
+    BOOST_LEAF_ASSIGN(peerAddress, peerServer->listen({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
+    BOOST_LEAF_CHECK(datagrams->bind(peerAddress));
+    BOOST_LEAF_ASSIGN(callerAddress, callers->listen({settings.host, static_cast<std::uint16_t>(settings.callerPort)}));
+    BOOST_LEAF_ASSIGN(operatorAddress, operators->listen({settings.host, static_cast<std::uint16_t>(settings.operatorPort)}));
+    return {};
+}
+
+// [SECTION] Frames
+
+bool Entry::Private::takeFrame(const LinkPtr &link, const Frame &frame)
+{
+    switch (frame.message) {
+    case ConfigurationUpdate::messageId: {
+        ConfigurationUpdate update;
+        if (!decodeFrame(frame, update)) {
+            return false;
+        }
+        keeper->take(link, update);
+        return true;
+    }
+    case ConfigurationWanted::messageId: {
+        ConfigurationWanted wanted;
+        if (!decodeFrame(frame, wanted)) {
+            return false;
+        }
+        keeper->sendTo(link, wanted.version, link->peer().role == Role::Entry ? SectionScope::All : SectionScope::WithoutWorkspaces);
+        return true;
+    }
+    case TokenFrame::messageId:
+    case StageFailed::messageId:
+    case StageReport::messageId:
+        return streams->takeFrame(frame);
+    default:
+        return calls->takeFrame(frame);
+    }
+}
+
+void Entry::Private::takeDatagram(const Frame &frame)
+{
+    if (frame.message == Announcement::messageId) {
+        Announcement announcement;
+        if (decodeFrame(frame, announcement)) {
+            targets->take(announcement, keeper->inForce().version);
+        }
+        return;
+    }
+    EntryAnnouncement peer;
+    if (frame.message == EntryAnnouncement::messageId && decodeFrame(frame, peer)) {
+        peers->take(peer);
+    }
+}
+
+void Entry::Private::takePeer(const EntryAnnouncement &announcement)
+{
+    if (announcement.state == TargetState::Ready) {
+        keeper->notePeer(announcement.configuration);
+    }
+    const LinkPtr link = links->link({announcement.host, announcement.port});
+    const ConfigurationVersion mine = keeper->inForce().version;
+    if (announcement.configuration > mine) {
+        link->send(ConfigurationWanted{mine});
+    } else if (announcement.configuration < mine) {
+        keeper->sendTo(link, announcement.configuration, SectionScope::All);
+    }
+}
+
+void Entry::Private::configurationChanged()
+{
+    // Hand it on at once: to a few peers, which hand it on in turn, and to this entry's sidecars. Whoever misses it is
+    // found by the versions in the announcements.
+    for (const auto &[id, view] : peers->views()) {
+        const Address address{view.last.host, view.last.port};
+        const std::vector<Address> fanOut = peers->fanOut();
+        if (std::find(fanOut.begin(), fanOut.end(), address) != fanOut.end()) {
+            keeper->sendTo(links->link(address), view.last.configuration, SectionScope::All);
+        }
+    }
+    for (const TargetView *view : targets->views()) {
+        if (!view->isSilent) {
+            keeper->sendTo(links->link({view->last.host, view->last.port}), view->last.configuration, SectionScope::WithoutWorkspaces);
+        }
+    }
+    announce();
+}
+
+// [SECTION] Ticks
+
+void Entry::Private::tick()
+{
+    targets->tick();
+    peers->tick();
+    streams->tick();
+    calls->tick();
+    keys->flush();
+}
+
+std::vector<Address> Entry::Private::sidecarAddresses() const
+{
+    std::vector<Address> addresses;
+    for (const TargetView *view : targets->views()) {
+        if (!view->isSilent) {
+            addresses.push_back({view->last.host, view->last.port});
+        }
+    }
+    return addresses;
+}
+
+void Entry::Private::announce()
+{
+    const TimePoint now = clock.now();
+    const bool isForSidecars = now >= nextSidecarAnnounce || context->isDraining;
+    if (isForSidecars) {
+        nextSidecarAnnounce = now + sidecarAnnounceInterval;
+    }
+    peers->announce(isForSidecars ? sidecarAddresses() : std::vector<Address>());
+    if (!keeper->isTrusted()) {
+        keeper->poll();
+    }
+}
+
+bool Entry::Private::isReady() const
+{
+    return !context->isDraining && keeper->isTrusted();
+}
+
+std::size_t Entry::Private::open() const
+{
+    return completions->open() + calls->open();
+}
+
+void Entry::Private::checkDrained()
+{
+    const bool isLate = clock.now() - drainStartedAt >= settings.drainTimeout;
+    const bool isIdle = open() == 0 && keys->unwritten() == 0;
+    if (!isIdle && !isLate) {
+        return;
+    }
+    if (!isIdle) {
+        logEvent(Event::DrainTimeout, {{"open", std::to_string(open())}});
+    }
+    drainTimer.stop();
+    drained();
+}
+
+// [SECTION] Views
+
+json Entry::Private::status() const
+{
+    json result = describeSystem(*context, *keeper, *peers, *targets);
+    result["id"] = settings.id;
+    result["version"] = PARSLEYTRAIL_VERSION;
+    result["isReady"] = isReady();
+    result["streams"] = streams->size();
+    result["calls"] = calls->open();
+    result["store"] = {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}, {"unwrittenCallEnds", keys->unwritten()}};
+    return result;
+}
+
+json Entry::Private::state() const
+{
+    json result = status();
+    result["role"] = "entry";
+    result["incarnation"] = incarnation.value;
+    result["retryBudget"] = {{"saved", context->retries.saved}, {"burst", context->retries.burst}};
+    result["links"] = links->size();
+    result["datagramsRefused"] = datagrams->refused();
+    result["openStreams"] = json::parse(streams->dump());
+    result["openCalls"] = json::parse(calls->dump());
+    return result;
+}
+
+void Entry::Private::refreshMetrics()
+{
+    metrics.gauge("parsley_streams_open", "Streams open.") = static_cast<double>(streams->size());
+    metrics.gauge("parsley_calls_open", "Calls to plain services open.") = static_cast<double>(calls->open());
+    metrics.gauge("parsley_targets", "Targets known.") = static_cast<double>(targets->views().size());
+    metrics.gauge("parsley_configuration_version", "Configuration version in force.") = static_cast<double>(keeper->inForce().version.value);
+    metrics.gauge("parsley_store_reads", "Reads sent to the platform's store.") = static_cast<double>(store->reads());
+    metrics.gauge("parsley_store_writes", "Writes sent to the platform's store.") = static_cast<double>(store->writes());
+    metrics.gauge("parsley_store_down", "1 while the circuit to the store is open.") = store->isDown() ? 1 : 0;
+}
+
+// [SECTION] Entry
+
+Entry::Entry(EventLoop &loop, const Clock &clock, EntrySettings settings)
+    : d(std::make_unique<Private>(loop, clock, std::move(settings)))
+{
+}
+
+Entry::~Entry()
+{
+    // Servers and links first: their handlers use the parts below.
+    d->callers.reset();
+    d->operators.reset();
+    d->peerServer.reset();
+}
+
+Result<void> Entry::start()
+{
+    BOOST_LEAF_CHECK(d->makeParts());
+    BOOST_LEAF_CHECK(d->listen());
+    d->peers->start(d->peerAddress);
+    d->tickTimer.startRepeating(tickInterval);
+    d->announceTimer.startRepeating(d->settings.announceInterval);
+    d->pollTimer.startRepeating(d->settings.configurationPoll);
+    d->keeper->poll();
+    d->peers->tick();
+    d->announce();
+    logEvent(Event::ProcessStarted, {{"id", d->settings.id},
+                                     {"callers", d->callerAddress.toString()},
+                                     {"operators", d->operatorAddress.toString()},
+                                     {"peers", d->peerAddress.toString()}});
+    return {};
+}
+
+void Entry::drain(std::function<void()> finished)
+{
+    if (d->context->isDraining) {
+        return;
+    }
+    logEvent(Event::DrainStarted, {{"open", std::to_string(d->open())}});
+    d->context->isDraining = true;
+    d->drainStartedAt = d->clock.now();
+    d->drained = std::move(finished);
+    d->announce();
+    d->drainTimer.startRepeating(milliseconds(100));
+}
+
+Address Entry::callerAddress() const
+{
+    return d->callerAddress;
+}
+
+Address Entry::operatorAddress() const
+{
+    return d->operatorAddress;
+}
+
+Address Entry::peerAddress() const
+{
+    return d->peerAddress;
+}
+
+History &Entry::history()
+{
+    return d->history;
+}
+
+bool Entry::isReady() const
+{
+    return d->isReady();
+}
+
+std::uint64_t Entry::configurationVersion() const
+{
+    return d->keeper->inForce().version.value;
+}
+
+std::size_t Entry::open() const
+{
+    return d->open();
+}
+
+std::string Entry::status() const
+{
+    return d->status().dump();
+}
+
+std::string Entry::state() const
+{
+    return d->state().dump();
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/entry/keyed_calls.cpp
@@ -0,0 +1,278 @@
+// Index: [SECTION] Rows, [SECTION] Beginning, [SECTION] Ending, [SECTION] KeyedCalls
+#include "entry/keyed_calls.h"
+
+#include "base/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+// [SECTION] Rows
+
+constexpr const char *callTable = "calls";
+constexpr int maxInsertTries = 3;                  ///< inserts of one row whose answers are lost
+constexpr milliseconds graceAfterDeadline{5000};   ///< a call that has not ended this long after its deadline never will
+constexpr milliseconds flushPause{500};            ///< between tries to write one end
+
+namespace
+{
+
+/// Value of a row.
+struct KeyRow {
+    std::string state;      ///< started, answered, not-run or unknown
+    std::string bodyDigest; ///< see CallKey
+    std::string writeId;    ///< of the insert
+    std::int64_t startedMs = 0; ///< wall time
+    std::int64_t deadlineMs = 0; ///< longest time of the call
+    KeptAnswer answer;      ///< for state answered
+};
+
+std::string encodeRow(const KeyRow &row)
+{
+    json value = {{"state", row.state}, {"body", row.bodyDigest}, {"write", row.writeId}, {"started", row.startedMs}, {"deadline", row.deadlineMs}};
+    if (row.state == "answered") {
+        json headers = json::array();
+        for (const HttpHeader &header : row.answer.headers) {
+            headers.push_back({header.name, header.value});
+        }
+        value["status"] = row.answer.status;
+        value["headers"] = headers;
+        value["answer"] = row.answer.body;
+    }
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool decodeRow(const std::string &text, KeyRow &row)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return false;
+    }
+    row.state = value.value("state", "");
+    row.bodyDigest = value.value("body", "");
+    row.writeId = value.value("write", "");
+    row.startedMs = value.value("started", std::int64_t{0});
+    row.deadlineMs = value.value("deadline", std::int64_t{0});
+    row.answer.status = value.value("status", 0);
+    row.answer.body = value.value("answer", "");
+    for (const json &header : value.value("headers", json::array())) {
+        row.answer.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+    }
+    return true;
+}
+
+std::string rowKey(const CallKey &key)
+{
+    // Keys are chosen by callers; the digest keeps them to a length and an alphabet.
+    return key.workspace.value + "/" + key.service.value + "/" + sha256Hex(key.key);
+}
+
+/// A call of this entry that holds its key.
+struct HeldKey {
+    KeyRow row;                 ///< as it is, or will be, in the store
+    std::uint64_t version = 0;  ///< of the row in the store
+    bool isRunning = true;      ///< finish() has not been called
+    bool isWriting = false;     ///< the end is on its way to the store
+    TimePoint nextWrite{};      ///< when to try again
+};
+
+} // namespace
+
+struct KeyedCalls::Private {
+    using Done = std::function<void(KeyVerdict, const KeptAnswer &)>;
+
+    EntryContext &context;
+    Store &store;
+    std::map<std::string, HeldKey> held; ///< by row key: running here, or ended and not yet written
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    void insert(const std::string &name, KeyRow row, std::uint64_t ifVersion, int triesLeft, Done done);
+    void readBack(const std::string &name, const KeyRow &mine, int triesLeft, const Done &done);
+    void judge(const std::string &name, const KeyRow &mine, const Row &row, const Done &done);
+    void write(const std::string &name);
+    std::int64_t nowMs() const;
+};
+
+std::int64_t KeyedCalls::Private::nowMs() const
+{
+    return std::chrono::duration_cast<milliseconds>(context.clock.wallTime().time_since_epoch()).count();
+}
+
+// [SECTION] Beginning
+
+void KeyedCalls::Private::insert(const std::string &name, KeyRow row, std::uint64_t ifVersion, int triesLeft, Done done)
+{
+    const std::string value = encodeRow(row);
+    store.transact({{callTable, name, value, ifVersion}}, [this, name, row, ifVersion, triesLeft, done, weak = std::weak_ptr(alive)](StoreStatus status) {
+        if (weak.expired()) {
+            return;
+        }
+        if (status == StoreStatus::Ok) {
+            held[name] = {row, ifVersion + 1, true, false, {}};
+            return done(KeyVerdict::Run, {});
+        }
+        if (status == StoreStatus::Conflict) {
+            return readBack(name, row, triesLeft, done);
+        }
+        if (status == StoreStatus::Unknown && triesLeft > 1) {
+            // Sent again with the same write id: if the first one took effect, this one conflicts and is read back.
+            return insert(name, row, ifVersion, triesLeft - 1, done);
+        }
+        if (status == StoreStatus::Unknown) {
+            // The row may be there. The call is not made, so that the row's end is `not-run`; it is written when the
+            // store is back, and until then the key stays reserved here.
+            held[name] = {row, ifVersion + 1, false, false, {}};
+            held[name].row.state = "not-run";
+        }
+        done(KeyVerdict::Unavailable, {});
+    });
+}
+
+void KeyedCalls::Private::readBack(const std::string &name, const KeyRow &mine, int triesLeft, const Done &done)
+{
+    store.readRow(callTable, name, [this, name, mine, triesLeft, done, weak = std::weak_ptr(alive)](StoreStatus status, const Row &row) {
+        if (weak.expired()) {
+            return;
+        }
+        if (status == StoreStatus::NotFound && triesLeft > 1) {
+            return insert(name, mine, 0, triesLeft - 1, done);
+        }
+        if (status != StoreStatus::Ok) {
+            return done(KeyVerdict::Unavailable, {});
+        }
+        judge(name, mine, row, done);
+    });
+}
+
+void KeyedCalls::Private::judge(const std::string &name, const KeyRow &mine, const Row &row, const Done &done)
+{
+    KeyRow known;
+    if (!decodeRow(row.value, known)) {
+        return done(KeyVerdict::Unavailable, {});
+    }
+    if (known.writeId == mine.writeId && known.state == "started") {
+        held[name] = {mine, row.version, true, false, {}};
+        return done(KeyVerdict::Run, {});
+    }
+    if (known.bodyDigest != mine.bodyDigest) {
+        return done(KeyVerdict::OtherBody, {});
+    }
+    if (known.state == "answered") {
+        return done(KeyVerdict::Replay, known.answer);
+    }
+    if (known.state == "not-run") {
+        return insert(name, mine, row.version, 1, done);
+    }
+    const bool mayStillRun = known.state == "started" && nowMs() < known.startedMs + known.deadlineMs + graceAfterDeadline.count();
+    done(mayStillRun ? KeyVerdict::InProgress : KeyVerdict::Unknown, {});
+}
+
+// [SECTION] Ending
+
+void KeyedCalls::Private::write(const std::string &name)
+{
+    HeldKey &key = held[name];
+    key.isWriting = true;
+    key.nextWrite = context.clock.now() + flushPause;
+    const std::string value = encodeRow(key.row);
+    store.transact({{callTable, name, value, key.version}}, [this, name, weak = std::weak_ptr(alive)](StoreStatus status) {
+        const auto it = weak.expired() ? held.end() : held.find(name);
+        if (weak.expired() || it == held.end()) {
+            return;
+        }
+        it->second.isWriting = false;
+        // Only this entry writes the row while it is `started` by its write id. A conflict therefore means that an
+        // earlier write of the same end took effect, or that the insert never did: both leave nothing to write.
+        const bool isSettled = status == StoreStatus::Ok || status == StoreStatus::Conflict;
+        if (isSettled) {
+            held.erase(it);
+        }
+    });
+}
+
+// [SECTION] KeyedCalls
+
+KeyedCalls::KeyedCalls(EntryContext &context, Store &store)
+    : d(new Private{context, store, {}})
+{
+}
+
+KeyedCalls::~KeyedCalls() = default;
+
+void KeyedCalls::begin(const CallKey &key, std::function<void(KeyVerdict, const KeptAnswer &)> done)
+{
+    const std::string name = rowKey(key);
+    const auto here = d->held.find(name);
+    if (here != d->held.end()) {
+        const HeldKey &known = here->second;
+        if (known.row.bodyDigest != key.bodyDigest) {
+            return done(KeyVerdict::OtherBody, {});
+        }
+        if (known.isRunning) {
+            return done(KeyVerdict::InProgress, {});
+        }
+        if (known.row.state == "answered") {
+            return done(KeyVerdict::Replay, known.row.answer);
+        }
+        return done(known.row.state == "not-run" ? KeyVerdict::Unavailable : KeyVerdict::Unknown, {});
+    }
+    if (d->held.size() >= maxUnwrittenEnds) {
+        return done(KeyVerdict::Unavailable, {});
+    }
+    KeyRow row;
+    row.state = "started";
+    row.bodyDigest = key.bodyDigest;
+    row.writeId = randomHex();
+    row.startedMs = d->nowMs();
+    row.deadlineMs = key.deadline.count();
+    d->insert(name, std::move(row), 0, maxInsertTries, std::move(done));
+}
+
+void KeyedCalls::finish(const CallKey &key, KeyEnd end, KeptAnswer answer)
+{
+    const std::string name = rowKey(key);
+    const auto it = d->held.find(name);
+    if (it == d->held.end()) {
+        return;
+    }
+    HeldKey &known = it->second;
+    known.isRunning = false;
+    known.row.state = end == KeyEnd::Answered ? "answered" : end == KeyEnd::NotRun ? "not-run" : "unknown";
+    if (end == KeyEnd::Answered) {
+        known.row.answer = std::move(answer);
+    }
+    d->write(name);
+}
+
+void KeyedCalls::flush()
+{
+    const TimePoint now = d->context.clock.now();
+    std::vector<std::string> due;
+    for (const auto &[name, key] : d->held) {
+        if (!key.isRunning && !key.isWriting && now >= key.nextWrite) {
+            due.push_back(name);
+        }
+    }
+    for (const std::string &name : due) {
+        if (d->store.isDown() && d->store.retryAfter().count() > 0) {
+            return;
+        }
+        d->write(name);
+    }
+}
+
+std::size_t KeyedCalls::unwritten() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, key] : d->held) {
+        count += key.isRunning ? 0 : 1;
+    }
+    return count;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/entry/streams.cpp
@@ -0,0 +1,555 @@
+// Index: [SECTION] State, [SECTION] Attempts, [SECTION] Ends, [SECTION] Frames, [SECTION] Standing still, [SECTION] Streams
+#include "entry/streams.h"
+
+#include "base/log.h"
+#include "policy/progress.h"
+
+#include <nlohmann/json.hpp>
+
+#include <unordered_map>
+
+namespace Parsleytrail
+{
+
+// [SECTION] State
+
+constexpr milliseconds longestProgressTimeout{5000}; ///< before anything is known of a model's times
+constexpr std::uint32_t idleQueriesToResync = 2;     ///< queries that blame nobody before the attempt is renewed
+constexpr milliseconds exclusionLife{500};           ///< a waiting stream takes back targets that failed it after this time
+constexpr double retryRefillPerSecond = 0.1;         ///< share of the open streams that may get a new attempt each second, beyond the share of requests
+
+namespace
+{
+
+/// An open stream.
+struct OpenStream {
+    StreamRequest request;
+    std::shared_ptr<const StreamHandlers> handlers;
+    Attempt attempt;                      ///< current; 0 before the first
+    std::vector<StageAddress> chain;      ///< current stages; empty while waiting for a target
+    std::vector<StageAddress> opened;     ///< stages that may hold state of this stream
+    std::vector<std::uint32_t> emitted;   ///< tokens given to the caller
+    std::set<TargetId> excluded;          ///< failed this stream
+    TimePoint openedAt{};                 ///< request taken
+    TimePoint progressAt{};               ///< last token, or start of the attempt
+    TimePoint failedAt{};                 ///< first failure since the last token; zero: none
+    TimePoint waitingSince{};             ///< no chain since; zero: has one
+    bool hasQuery = false;                ///< StageQuery is out
+    TimePoint queryEndsAt{};              ///< then whoever has not answered is taken as gone
+    std::vector<std::optional<StageProgress>> reports; ///< answers to it
+    std::uint32_t idleQueries = 0;        ///< in a row that blamed nobody
+};
+
+/// Times of one model's streams.
+struct ModelTimes {
+    TimeEstimate firstToken;
+    TimeEstimate betweenTokens;
+};
+
+Address addressOf(const StageAddress &stage)
+{
+    return {stage.host, stage.port};
+}
+
+double secondsBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+struct Streams::Private {
+    EntryContext &context;
+    Targets &targets;
+    std::unordered_map<RequestId, OpenStream> streams;
+    std::map<ModelName, ModelTimes> times;
+    TimePoint refilledAt{};
+    std::uint64_t &replaced;
+    std::uint64_t &tokensEmitted;
+    std::uint64_t &tokensDropped;
+    TimeHistogram &firstToken;
+    TimeHistogram &betweenTokens;
+    TimeHistogram &recovery;
+
+    Private(EntryContext &entryContext, Targets &entryTargets)
+        : context(entryContext)
+        , targets(entryTargets)
+        , replaced(context.metrics.counter("parsley_stages_replaced", "New attempts made because a stage failed."))
+        , tokensEmitted(context.metrics.counter("parsley_tokens_emitted", "Tokens given to callers."))
+        , tokensDropped(context.metrics.counter("parsley_tokens_dropped", "Tokens that came twice, from an old attempt, or for no open stream."))
+        , firstToken(context.metrics.histogram("parsley_first_token_seconds", "Time from a request to its first token."))
+        , betweenTokens(context.metrics.histogram("parsley_between_tokens_seconds", "Time between two tokens of a stream."))
+        , recovery(context.metrics.histogram("parsley_recovery_seconds", "Time from the last token before a failure to the first after it."))
+    {
+    }
+
+    OpenStream *find(const RequestId &request);
+    ChainOptions chainOptions(const OpenStream &stream) const;
+    bool chooseStages(OpenStream &stream);
+    StageAddress toStage(const TargetView &target) const;
+    void startAttempt(OpenStream &stream);
+    void wait(OpenStream &stream);
+    void replaceStage(OpenStream &stream, std::uint32_t stageIndex, const Error &error, bool isTargetsFault);
+    void renew(OpenStream &stream, const Error &error);
+
+    void closeStages(const OpenStream &stream);
+    void finish(OpenStream &stream, FinishReason reason, std::uint32_t promptTokens);
+    void fail(OpenStream &stream, const Error &error, bool isTimeout);
+
+    void takeToken(const TokenFrame &frame);
+    void takeFailure(const StageFailed &frame);
+    void takeReport(const StageReport &frame);
+
+    milliseconds progressTimeout(const OpenStream &stream);
+    void checkProgress(OpenStream &stream, TimePoint now);
+    void judge(OpenStream &stream);
+    std::vector<RequestId> usersOf(const std::function<bool(const StageAddress &)> &matches) const;
+};
+
+OpenStream *Streams::Private::find(const RequestId &request)
+{
+    const auto it = streams.find(request);
+    return it == streams.end() ? nullptr : &it->second;
+}
+
+// [SECTION] Attempts
+
+ChainOptions Streams::Private::chainOptions(const OpenStream &stream) const
+{
+    ChainOptions options;
+    options.dataCenter = context.settings.dataCenter;
+    options.excluded = &stream.excluded;
+    return options;
+}
+
+StageAddress Streams::Private::toStage(const TargetView &target) const
+{
+    const Announcement &last = target.last;
+    return {last.target, last.incarnation, last.host, last.port, last.layerBegin, last.layerEnd};
+}
+
+bool Streams::Private::chooseStages(OpenStream &stream)
+{
+    const std::vector<const TargetView *> views = targets.views();
+    const std::vector<std::size_t> chosen = chooseChain(views, stream.request.need, chainOptions(stream), context.clock.now(), context.random);
+    stream.chain.clear();
+    for (const std::size_t index : chosen) {
+        stream.chain.push_back(toStage(*views[index]));
+    }
+    return !stream.chain.empty();
+}
+
+void Streams::Private::startAttempt(OpenStream &stream)
+{
+    ++stream.attempt.value;
+    stream.waitingSince = {};
+    stream.hasQuery = false;
+    stream.progressAt = context.clock.now();
+    OpenStage open;
+    open.request = stream.request.id;
+    open.attempt = stream.attempt;
+    open.stages = stream.chain;
+    open.model = stream.request.need.model;
+    open.version = stream.request.need.version;
+    open.adapter = stream.request.need.adapter;
+    open.tokens = stream.emitted;
+    open.maxTokens = stream.request.maxTokens;
+    open.priority = stream.request.priority;
+    open.fingerprint = stream.request.fingerprint;
+    for (std::uint32_t i = 0; i < stream.chain.size(); ++i) {
+        const StageAddress &stage = stream.chain[i];
+        open.stageIndex = i;
+        open.prompt = i == 0 ? stream.request.prompt : std::string();
+        context.links.link(addressOf(stage))->send(open);
+        const bool isNew = std::none_of(stream.opened.begin(), stream.opened.end(), [&](const StageAddress &other) {
+            return other.target == stage.target;
+        });
+        if (isNew) {
+            stream.opened.push_back(stage);
+            targets.noteOpened(stage.target);
+        }
+    }
+    if (context.history.isOn()) {
+        context.history.record("attempt", {{"request", stream.request.id.value}, {"attempt", std::uint64_t{stream.attempt.value}}, {"emitted", std::uint64_t{stream.emitted.size()}}});
+    }
+}
+
+void Streams::Private::wait(OpenStream &stream)
+{
+    stream.chain.clear();
+    if (stream.waitingSince == TimePoint{}) {
+        stream.waitingSince = context.clock.now();
+    }
+}
+
+/// Starts a new attempt on the chain that is set, or on a new one; waits if there is none or the budget is spent.
+void Streams::Private::renew(OpenStream &stream, const Error &error)
+{
+    if (stream.attempt.value >= maxAttempts) {
+        return fail(stream, error, false);
+    }
+    const bool hasChain = !stream.chain.empty() || chooseStages(stream);
+    const bool isFirst = stream.attempt == Attempt{};
+    if (!hasChain || (!isFirst && !tryRetry(context.retries))) {
+        return wait(stream);
+    }
+    if (!isFirst) {
+        ++replaced;
+    }
+    startAttempt(stream);
+}
+
+void Streams::Private::replaceStage(OpenStream &stream, std::uint32_t stageIndex, const Error &error, bool isTargetsFault)
+{
+    if (stageIndex >= stream.chain.size()) {
+        return;
+    }
+    const StageAddress lost = stream.chain[stageIndex];
+    stream.excluded.insert(lost.target);
+    if (isTargetsFault) {
+        targets.noteFailure(lost.target);
+    }
+    if (stream.failedAt == TimePoint{}) {
+        stream.failedAt = stream.progressAt;
+    }
+    logEvent(Event::StageReplaced, {{"request", stream.request.id.value},
+                                    {"attempt", std::to_string(stream.attempt.value)},
+                                    {"stage", std::to_string(stageIndex)},
+                                    {"target", lost.target.value},
+                                    {"step", error.step},
+                                    {"peer", error.peer},
+                                    {"reason", error.text}});
+    const std::vector<const TargetView *> views = targets.views();
+    const std::size_t index = chooseReplacement(views, stream.request.need, lost.layerBegin, lost.layerEnd, chainOptions(stream), context.clock.now(), context.random);
+    if (index < views.size()) {
+        stream.chain[stageIndex] = toStage(*views[index]);
+    } else {
+        stream.chain.clear();
+    }
+    renew(stream, error);
+}
+
+// [SECTION] Ends
+
+void Streams::Private::closeStages(const OpenStream &stream)
+{
+    for (const StageAddress &stage : stream.opened) {
+        targets.noteClosed(stage.target);
+        const LinkPtr link = context.links.find(addressOf(stage));
+        if (link) {
+            link->send(CloseStream{stream.request.id, stream.attempt});
+        }
+    }
+}
+
+void Streams::Private::finish(OpenStream &stream, FinishReason reason, std::uint32_t promptTokens)
+{
+    closeStages(stream);
+    for (const StageAddress &stage : stream.chain) {
+        targets.noteSuccess(stage.target);
+    }
+    const auto handlers = stream.handlers;
+    streams.erase(stream.request.id);
+    handlers->onEnd(reason, promptTokens);
+}
+
+void Streams::Private::fail(OpenStream &stream, const Error &error, bool isTimeout)
+{
+    closeStages(stream);
+    StreamFailure failure;
+    failure.error = error;
+    failure.outcome = stream.attempt == Attempt{} ? Outcome::NotRun : Outcome::Unknown;
+    failure.isTimeout = isTimeout;
+    logEvent(Event::StreamFailed, {{"request", stream.request.id.value},
+                                   {"attempt", std::to_string(stream.attempt.value)},
+                                   {"step", error.step},
+                                   {"peer", error.peer},
+                                   {"reason", error.text}});
+    const auto handlers = stream.handlers;
+    streams.erase(stream.request.id);
+    handlers->onFail(failure);
+}
+
+// [SECTION] Frames
+
+void Streams::Private::takeToken(const TokenFrame &frame)
+{
+    OpenStream *stream = find(frame.request);
+    const bool isNext = stream && frame.attempt == stream->attempt && frame.index == stream->emitted.size();
+    if (!isNext) {
+        // Late frames of an attempt that was given up must not reach the caller: their token was emitted already.
+        ++tokensDropped;
+        return;
+    }
+    const TimePoint now = context.clock.now();
+    const double gap = secondsBetween(stream->emitted.empty() ? stream->openedAt : stream->progressAt, now);
+    ModelTimes &modelTimes = times[stream->request.need.model];
+    if (stream->failedAt != TimePoint{}) {
+        recovery.record(secondsBetween(stream->failedAt, now));
+        stream->failedAt = {};
+    } else {
+        noteTime(stream->emitted.empty() ? modelTimes.firstToken : modelTimes.betweenTokens, gap);
+    }
+    (stream->emitted.empty() ? firstToken : betweenTokens).record(gap);
+    stream->emitted.push_back(frame.token);
+    stream->progressAt = now;
+    stream->idleQueries = 0;
+    stream->hasQuery = false;
+    ++tokensEmitted;
+    if (context.history.isOn()) {
+        context.history.record("token", {{"request", frame.request.value}, {"index", std::uint64_t{frame.index}}, {"token", std::uint64_t{frame.token}}, {"attempt", std::uint64_t{frame.attempt.value}}});
+    }
+    // The handler may cancel the stream.
+    const auto handlers = stream->handlers;
+    handlers->onToken(frame);
+    stream = find(frame.request);
+    if (stream && frame.finish != FinishReason::None) {
+        finish(*stream, frame.finish, frame.promptLength);
+    }
+}
+
+void Streams::Private::takeFailure(const StageFailed &frame)
+{
+    OpenStream *stream = find(frame.request);
+    if (!stream || frame.attempt != stream->attempt) {
+        return;
+    }
+    const bool isTargetsFault = frame.kind == FailureKind::TargetLost || frame.kind == FailureKind::TargetTimeout || frame.kind == FailureKind::NextStageLost;
+    replaceStage(*stream, frame.stageIndex, {frame.step, frame.peer, toString(frame.kind)}, isTargetsFault);
+}
+
+void Streams::Private::takeReport(const StageReport &frame)
+{
+    OpenStream *stream = find(frame.request);
+    const bool isExpected = stream && stream->hasQuery && frame.stageIndex < stream->reports.size();
+    if (!isExpected) {
+        return;
+    }
+    // A stage that does not know the stream can't tell its place either: left unanswered, it is blamed at the deadline.
+    if (frame.attempt != stream->attempt) {
+        return;
+    }
+    stream->reports[frame.stageIndex] = StageProgress{frame.received, frame.applied, frame.sent, true};
+    const bool isComplete = std::all_of(stream->reports.begin(), stream->reports.end(), [](const auto &report) {
+        return report.has_value();
+    });
+    if (isComplete) {
+        judge(*stream);
+    }
+}
+
+// [SECTION] Standing still
+
+milliseconds Streams::Private::progressTimeout(const OpenStream &stream)
+{
+    const ModelTimes &modelTimes = times[stream.request.need.model];
+    const TimeEstimate &estimate = stream.emitted.empty() ? modelTimes.firstToken : modelTimes.betweenTokens;
+    return overdueAfter(estimate, context.settings.progressTimeout, longestProgressTimeout);
+}
+
+void Streams::Private::checkProgress(OpenStream &stream, TimePoint now)
+{
+    if (stream.hasQuery) {
+        if (now >= stream.queryEndsAt) {
+            judge(stream);
+        }
+        return;
+    }
+    const milliseconds timeout = progressTimeout(stream);
+    if (now - stream.progressAt < timeout) {
+        return;
+    }
+    stream.hasQuery = true;
+    stream.queryEndsAt = now + context.settings.progressTimeout / 2;
+    stream.reports.assign(stream.chain.size(), std::nullopt);
+    for (const StageAddress &stage : stream.chain) {
+        context.links.link(addressOf(stage))->send(StageQuery{stream.request.id, stream.attempt});
+    }
+}
+
+void Streams::Private::judge(OpenStream &stream)
+{
+    stream.hasQuery = false;
+    if (const std::optional<std::uint32_t> stage = blameStage(stream.reports)) {
+        const std::string peer = stream.chain[*stage].target.value;
+        return replaceStage(stream, *stage, {"wait for token", peer, "no progress"}, true);
+    }
+    stream.progressAt = context.clock.now();
+    ++stream.idleQueries;
+    if (stream.idleQueries >= idleQueriesToResync) {
+        // All stages wait for each other: a frame between two of them was lost with its link. A new attempt on the same
+        // chain makes each ask for what it lacks.
+        stream.idleQueries = 0;
+        renew(stream, {"wait for token", "", "no stage is at fault"});
+    }
+}
+
+std::vector<RequestId> Streams::Private::usersOf(const std::function<bool(const StageAddress &)> &matches) const
+{
+    std::vector<RequestId> users;
+    for (const auto &[request, stream] : streams) {
+        if (std::any_of(stream.chain.begin(), stream.chain.end(), matches)) {
+            users.push_back(request);
+        }
+    }
+    return users;
+}
+
+// [SECTION] Streams
+
+Streams::Streams(EntryContext &context, Targets &targets)
+    : d(std::make_unique<Private>(context, targets))
+{
+}
+
+Streams::~Streams() = default;
+
+void Streams::open(StreamRequest request, StreamHandlers handlers)
+{
+    const RequestId id = request.id;
+    OpenStream &stream = d->streams[id];
+    stream.request = std::move(request);
+    stream.handlers = std::make_shared<const StreamHandlers>(std::move(handlers));
+    stream.openedAt = d->context.clock.now();
+    stream.progressAt = stream.openedAt;
+    noteRequest(d->context.retries);
+    d->renew(stream, {});
+}
+
+void Streams::cancel(const RequestId &request)
+{
+    if (const OpenStream *stream = d->find(request)) {
+        d->closeStages(*stream);
+        d->streams.erase(request);
+    }
+}
+
+bool Streams::takeFrame(const Frame &frame)
+{
+    switch (frame.message) {
+    case TokenFrame::messageId: {
+        TokenFrame message;
+        if (!decodeFrame(frame, message)) {
+            return false;
+        }
+        d->takeToken(message);
+        return true;
+    }
+    case StageFailed::messageId: {
+        StageFailed message;
+        if (!decodeFrame(frame, message)) {
+            return false;
+        }
+        d->takeFailure(message);
+        return true;
+    }
+    case StageReport::messageId: {
+        StageReport message;
+        if (!decodeFrame(frame, message)) {
+            return false;
+        }
+        d->takeReport(message);
+        return true;
+    }
+    default:
+        return false;
+    }
+}
+
+void Streams::linkGone(const std::string &address, const Error &error)
+{
+    const auto isThere = [&address](const StageAddress &stage) {
+        return addressOf(stage).toString() == address;
+    };
+    for (const RequestId &request : d->usersOf(isThere)) {
+        OpenStream *stream = d->find(request);
+        const auto stage = std::find_if(stream->chain.begin(), stream->chain.end(), isThere);
+        d->replaceStage(*stream, static_cast<std::uint32_t>(stage - stream->chain.begin()), error, true);
+    }
+}
+
+void Streams::targetGone(const TargetId &target)
+{
+    const auto isTarget = [&target](const StageAddress &stage) {
+        return stage.target == target;
+    };
+    for (const RequestId &request : d->usersOf(isTarget)) {
+        OpenStream *stream = d->find(request);
+        const auto stage = std::find_if(stream->chain.begin(), stream->chain.end(), isTarget);
+        d->replaceStage(*stream, static_cast<std::uint32_t>(stage - stream->chain.begin()), {"hear from target", target.value, "silent or restarted"}, false);
+    }
+}
+
+void Streams::targetsChanged()
+{
+    std::vector<RequestId> waiting;
+    for (const auto &[request, stream] : d->streams) {
+        if (stream.waitingSince != TimePoint{}) {
+            waiting.push_back(request);
+        }
+    }
+    const TimePoint now = d->context.clock.now();
+    for (const RequestId &request : waiting) {
+        OpenStream *stream = d->find(request);
+        if (now - stream->waitingSince >= exclusionLife) {
+            stream->excluded.clear();
+        }
+        d->renew(*stream, {"choose chain", "", "no target holds the layers"});
+    }
+}
+
+void Streams::tick()
+{
+    const TimePoint now = d->context.clock.now();
+    RetryBudget &budget = d->context.retries;
+    budget.burst = std::max(20.0, static_cast<double>(d->streams.size()));
+    if (d->refilledAt != TimePoint{}) {
+        budget.saved = std::min(budget.burst, budget.saved + budget.burst * retryRefillPerSecond * secondsBetween(d->refilledAt, now));
+    }
+    d->refilledAt = now;
+    targetsChanged();
+    std::vector<RequestId> requests;
+    for (const auto &[request, stream] : d->streams) {
+        requests.push_back(request);
+    }
+    for (const RequestId &request : requests) {
+        OpenStream *stream = d->find(request);
+        if (!stream) {
+            continue;
+        }
+        if (now - stream->openedAt >= stream->request.deadline) {
+            d->fail(*stream, {"answer in time", "", "the deadline passed"}, true);
+        } else if (stream->waitingSince == TimePoint{}) {
+            d->checkProgress(*stream, now);
+        } else if (now - stream->waitingSince >= (stream->attempt == Attempt{} ? longestWaitToBegin : longestWaitForTarget)) {
+            d->fail(*stream, {"choose chain", "", "no targets hold all layers of the model"}, false);
+        }
+    }
+}
+
+std::size_t Streams::size() const
+{
+    return d->streams.size();
+}
+
+std::string Streams::dump() const
+{
+    const TimePoint now = d->context.clock.now();
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[request, stream] : d->streams) {
+        nlohmann::json chain = nlohmann::json::array();
+        for (const StageAddress &stage : stream.chain) {
+            chain.push_back(stage.target.value);
+        }
+        list.push_back({{"request", request.value},
+                        {"model", stream.request.need.model.value},
+                        {"attempt", stream.attempt.value},
+                        {"chain", chain},
+                        {"emitted", stream.emitted.size()},
+                        {"ageSeconds", secondsBetween(stream.openedAt, now)},
+                        {"isWaiting", stream.waitingSince != TimePoint{}}});
+    }
+    return list.dump();
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/entry/targets.cpp
@@ -0,0 +1,207 @@
+#include "entry/targets.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Parsleytrail
+{
+
+namespace
+{
+
+/// A target with what only the entry's table needs.
+struct KnownTarget {
+    TargetView view;
+    TimePoint pushedAt{}; ///< last push of configuration
+};
+
+} // namespace
+
+struct Targets::Private {
+    EntryContext &context;
+    std::map<TargetId, KnownTarget> targets;
+    std::function<void(const TargetId &)> gone;
+    std::function<void()> usable;
+    std::function<void(const LinkPtr &, ConfigurationVersion)> oldConfiguration;
+
+    void join(KnownTarget &target, const Announcement &announcement);
+    void pushIfOld(KnownTarget &target, ConfigurationVersion inForce);
+};
+
+static Address addressOf(const Announcement &announcement)
+{
+    return {announcement.host, announcement.port};
+}
+
+Targets::Targets(EntryContext &context)
+    : d(new Private{context})
+{
+}
+
+Targets::~Targets() = default;
+
+void Targets::onGone(std::function<void(const TargetId &)> handler)
+{
+    d->gone = std::move(handler);
+}
+
+void Targets::onUsable(std::function<void()> handler)
+{
+    d->usable = std::move(handler);
+}
+
+void Targets::onOldConfiguration(std::function<void(const LinkPtr &, ConfigurationVersion)> handler)
+{
+    d->oldConfiguration = std::move(handler);
+}
+
+void Targets::Private::join(KnownTarget &target, const Announcement &announcement)
+{
+    const bool isRestart = target.view.last.incarnation != Incarnation{};
+    const std::uint32_t openHere = target.view.openHere;
+    target.view = TargetView{};
+    target.view.openHere = openHere;
+    target.view.joinedAt = context.clock.now();
+    logEvent(Event::TargetJoined, {{"target", announcement.target.value},
+                                   {"address", addressOf(announcement).toString()},
+                                   {"dataCenter", announcement.dataCenter},
+                                   {"layers", std::to_string(announcement.layerBegin) + "-" + std::to_string(announcement.layerEnd)}});
+    if (isRestart) {
+        gone(announcement.target);
+    }
+}
+
+void Targets::Private::pushIfOld(KnownTarget &target, ConfigurationVersion inForce)
+{
+    const TimePoint now = context.clock.now();
+    const bool isDue = target.pushedAt == TimePoint{} || now - target.pushedAt >= configurationPushInterval;
+    if (target.view.last.configuration >= inForce || !isDue) {
+        return;
+    }
+    target.pushedAt = now;
+    oldConfiguration(context.links.link(addressOf(target.view.last)), target.view.last.configuration);
+}
+
+void Targets::take(const Announcement &announcement, ConfigurationVersion inForce)
+{
+    if (announcement.region != d->context.settings.region) {
+        return;
+    }
+    KnownTarget &target = d->targets[announcement.target];
+    const bool isOld = announcement.incarnation < target.view.last.incarnation
+        || (announcement.incarnation == target.view.last.incarnation && announcement.sequence <= target.view.last.sequence);
+    if (isOld) {
+        return; // UDP may reorder and repeat
+    }
+    if (announcement.incarnation > target.view.last.incarnation) {
+        d->join(target, announcement);
+    }
+    const TargetState before = target.view.last.state;
+    const bool wasUsable = takesNewWork(target.view, d->context.clock.now());
+    target.view.last = announcement;
+    target.view.heardAt = d->context.clock.now();
+    if (target.view.isSilent) {
+        target.view.isSilent = false;
+        logEvent(Event::TargetBack, {{"target", announcement.target.value}});
+    }
+    if (announcement.state == TargetState::Draining && before != TargetState::Draining) {
+        logEvent(Event::TargetDraining, {{"target", announcement.target.value}});
+    }
+    if (announcement.state == TargetState::Joining && before == TargetState::Ready) {
+        d->gone(announcement.target); // its engine does not answer any more
+    }
+    d->context.links.link(addressOf(announcement));
+    d->pushIfOld(target, inForce);
+    if (!wasUsable && takesNewWork(target.view, d->context.clock.now())) {
+        d->usable();
+    }
+}
+
+void Targets::markLeaving(const std::vector<TargetId> &leaving)
+{
+    for (auto &[id, target] : d->targets) {
+        target.view.isLeaving = std::find(leaving.begin(), leaving.end(), id) != leaving.end();
+    }
+}
+
+void Targets::tick()
+{
+    const TimePoint now = d->context.clock.now();
+    for (auto &[id, target] : d->targets) {
+        if (!target.view.isSilent && now - target.view.heardAt >= d->context.settings.silenceTimeout) {
+            target.view.isSilent = true;
+            logEvent(Event::TargetSilent, {{"target", id.value}});
+            d->gone(id);
+        }
+    }
+    std::erase_if(d->targets, [now](const auto &item) {
+        return now - item.second.view.heardAt >= forgetAfter && item.second.view.openHere == 0;
+    });
+}
+
+std::vector<const TargetView *> Targets::views() const
+{
+    std::vector<const TargetView *> views;
+    views.reserve(d->targets.size());
+    for (const auto &[id, target] : d->targets) {
+        views.push_back(&target.view);
+    }
+    return views;
+}
+
+const TargetView *Targets::find(const TargetId &target) const
+{
+    const auto it = d->targets.find(target);
+    return it == d->targets.end() ? nullptr : &it->second.view;
+}
+
+LinkPtr Targets::link(const TargetId &target)
+{
+    const TargetView *view = find(target);
+    return view ? d->context.links.link(addressOf(view->last)) : nullptr;
+}
+
+void Targets::noteOpened(const TargetId &target)
+{
+    if (const auto it = d->targets.find(target); it != d->targets.end()) {
+        ++it->second.view.openHere;
+    }
+}
+
+void Targets::noteClosed(const TargetId &target)
+{
+    const auto it = d->targets.find(target);
+    if (it != d->targets.end() && it->second.view.openHere > 0) {
+        --it->second.view.openHere;
+    }
+}
+
+void Targets::noteSuccess(const TargetId &target)
+{
+    if (const auto it = d->targets.find(target); it != d->targets.end()) {
+        noteTargetSuccess(it->second.view);
+    }
+}
+
+void Targets::noteFailure(const TargetId &target)
+{
+    const auto it = d->targets.find(target);
+    if (it == d->targets.end()) {
+        return;
+    }
+    const TimePoint now = d->context.clock.now();
+    std::size_t ejected = 0;
+    std::size_t alive = 0;
+    for (const auto &[id, other] : d->targets) {
+        ejected += now < other.view.ejectedUntil ? 1 : 0;
+        alive += other.view.isSilent ? 0 : 1;
+    }
+    const bool isAlreadyEjected = now < it->second.view.ejectedUntil;
+    if (!isAlreadyEjected) {
+        noteTargetFailure(it->second.view, now, ejected, alive);
+    }
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/entry/targets.h
@@ -0,0 +1,51 @@
+// The targets that this entry uses: what they announced, whether they are heard, and links to them.
+#pragma once
+
+#include "entry/context.h"
+#include "policy/target.h"
+
+#include <functional>
+
+namespace Parsleytrail
+{
+
+/// Table of targets, fed by announcements and the platform's list.
+class Targets
+{
+public:
+    explicit Targets(EntryContext &context);
+    ~Targets();
+
+    /// Called when a target can no longer be relied on: silent, restarted, or its engine lost.
+    void onGone(std::function<void(const TargetId &)> handler);
+    /// Called when a target may have become usable.
+    void onUsable(std::function<void()> handler);
+    /// Called for a target that has an older configuration in force than this entry; at most once a second for each.
+    void onOldConfiguration(std::function<void(const LinkPtr &, ConfigurationVersion)> handler);
+
+    void take(const Announcement &announcement, ConfigurationVersion inForce);
+    /// Marks targets as leaving that the platform's list shows as leaving.
+    void markLeaving(const std::vector<TargetId> &leaving);
+    /// Finds silent targets, forgets those long gone. Called every few tens of milliseconds.
+    void tick();
+
+    /// All targets, for the decisions. Valid until the next call that changes the table.
+    std::vector<const TargetView *> views() const;
+    const TargetView *find(const TargetId &target) const;
+    /// The link to a target; made if there is none.
+    LinkPtr link(const TargetId &target);
+
+    void noteOpened(const TargetId &target);
+    void noteClosed(const TargetId &target);
+    void noteSuccess(const TargetId &target);
+    void noteFailure(const TargetId &target);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+constexpr milliseconds forgetAfter{60000};              ///< a target silent for this long is forgotten
+constexpr milliseconds configurationPushInterval{1000}; ///< between pushes to one target
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,357 @@
+// Index: [SECTION] Connections, [SECTION] One request, [SECTION] HttpCall, [SECTION] HttpClient
+#include "http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <map>
+#include <set>
+
+namespace Parsleytrail
+{
+
+// [SECTION] Connections
+
+/// A kept connection and what was written on it for the current request.
+struct HttpConnection {
+    evhttp_connection *raw = nullptr; ///< owned
+    Address address;                  ///< of the server
+    bool isFresh = true;              ///< never carried a request before the current one
+    bool hasWritten = false;          ///< a byte of the current request left this process
+
+    ~HttpConnection()
+    {
+        evhttp_connection_free(raw);
+    }
+};
+using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
+
+constexpr std::size_t maxIdleConnections = 32; ///< kept for each address
+
+struct HttpCallState;
+
+/// What the client keeps between requests.
+struct HttpClientState : std::enable_shared_from_this<HttpClientState> {
+    explicit HttpClientState(EventLoop &eventLoop)
+        : loop(eventLoop)
+    {
+    }
+
+    EventLoop &loop;
+    std::map<Address, std::vector<HttpConnectionPtr>> idle;
+    std::set<std::shared_ptr<HttpCallState>> calls; ///< on their way
+
+    HttpConnectionPtr connection(const Address &address, bool isFresh);
+    void release(const HttpConnectionPtr &connection);
+};
+
+HttpConnectionPtr HttpClientState::connection(const Address &address, bool isFresh)
+{
+    auto &kept = idle[address];
+    if (!isFresh && !kept.empty()) {
+        HttpConnectionPtr connection = kept.back();
+        kept.pop_back();
+        connection->isFresh = false;
+        connection->hasWritten = false;
+        return connection;
+    }
+    auto connection = std::make_shared<HttpConnection>();
+    connection->address = address;
+    connection->raw = evhttp_connection_base_new(loop.base(), nullptr, address.host.c_str(), address.port);
+    const auto onOutput = [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+        if (info->n_deleted > 0) {
+            static_cast<HttpConnection *>(arg)->hasWritten = true;
+        }
+    };
+    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw)), onOutput, connection.get());
+    return connection;
+}
+
+void HttpClientState::release(const HttpConnectionPtr &connection)
+{
+    auto &kept = idle[connection->address];
+    if (kept.size() < maxIdleConnections) {
+        kept.push_back(connection);
+    }
+}
+
+// [SECTION] One request
+
+struct HttpCallState : std::enable_shared_from_this<HttpCallState> {
+    HttpClientState *client = nullptr;
+    HttpConnectionPtr connection;
+    evhttp_request *raw = nullptr; ///< owned by the connection
+    HttpStreamHandlers handlers;
+    std::unique_ptr<Timer> deadline;
+    std::size_t maxBodyBytes = 0;
+    std::size_t bodyBytes = 0;
+    const char *errorText = "connection lost";
+    bool hasHead = false;
+    bool isOver = false;
+    bool isPaused = false;
+
+    void finish(const std::optional<HttpFailure> &failure);
+    void breakConnection();
+    void failWith(const std::string &text, bool isTimeout);
+    void takeHead();
+    void takeData();
+    static void onComplete(evhttp_request *request, void *arg);
+};
+
+/// Gives the connection up; it can't be freed while evhttp still runs on its stack.
+void HttpCallState::breakConnection()
+{
+    if (raw) {
+        evhttp_request_set_chunked_cb(raw, nullptr);
+        evhttp_request_set_header_cb(raw, nullptr);
+        evhttp_request_set_error_cb(raw, nullptr);
+    }
+    raw = nullptr;
+    client->loop.defer([keep = std::move(connection)] {});
+    connection.reset();
+}
+
+void HttpCallState::finish(const std::optional<HttpFailure> &failure)
+{
+    if (isOver) {
+        return;
+    }
+    isOver = true;
+    deadline->stop();
+    const auto self = shared_from_this();
+    const auto done = std::move(handlers.onDone);
+    handlers = {};
+    client->calls.erase(self);
+    // The connection still refers to this object until it is freed or the request is over.
+    client->loop.defer([self] {});
+    if (done) {
+        done(failure);
+    }
+}
+
+void HttpCallState::failWith(const std::string &text, bool isTimeout)
+{
+    HttpFailure failure;
+    failure.error = {"HTTP request", connection->address.toString(), text};
+    // On a kept connection the bytes may sit in a socket that the server has just closed: nobody can tell.
+    failure.wasHandedOver = !connection->isFresh || connection->hasWritten;
+    failure.isTimeout = isTimeout;
+    breakConnection();
+    finish(failure);
+}
+
+void HttpCallState::takeHead()
+{
+    if (hasHead || !raw) {
+        return;
+    }
+    hasHead = true;
+    HttpHeaders headers;
+    const evkeyvalq *fields = evhttp_request_get_input_headers(raw);
+    for (const evkeyval *field = fields->tqh_first; field; field = field->next.tqe_next) {
+        headers.push_back({field->key, field->value});
+    }
+    if (handlers.onHead) {
+        handlers.onHead(evhttp_request_get_response_code(raw), headers);
+    }
+}
+
+void HttpCallState::takeData()
+{
+    evbuffer *buffer = evhttp_request_get_input_buffer(raw);
+    const std::size_t size = evbuffer_get_length(buffer);
+    if (size == 0) {
+        return;
+    }
+    takeHead();
+    bodyBytes += size;
+    if (bodyBytes > maxBodyBytes) {
+        return failWith("answer over " + std::to_string(maxBodyBytes) + " bytes", false);
+    }
+    std::string bytes(size, '\0');
+    evbuffer_remove(buffer, bytes.data(), size);
+    if (handlers.onData) {
+        handlers.onData(bytes);
+    }
+    if (isPaused && connection) {
+        // evhttp turns reading on again when this callback returns.
+        client->loop.defer([self = shared_from_this()] {
+            if (self->isPaused && self->connection) {
+                bufferevent_disable(evhttp_connection_get_bufferevent(self->connection->raw), EV_READ);
+            }
+        });
+    }
+}
+
+void HttpCallState::onComplete(evhttp_request *request, void *arg)
+{
+    const auto self = static_cast<HttpCallState *>(arg)->shared_from_this();
+    if (self->isOver) {
+        return;
+    }
+    if (!request || evhttp_request_get_response_code(request) == 0) {
+        self->raw = nullptr;
+        return self->failWith(self->errorText, false);
+    }
+    self->takeHead();
+    if (!self->isOver && self->raw) {
+        self->takeData();
+    }
+    if (self->isOver || !self->connection) {
+        return;
+    }
+    self->raw = nullptr;
+    self->client->loop.defer([client = self->client->weak_from_this(), connection = self->connection] {
+        if (const auto state = client.lock()) {
+            state->release(connection);
+        }
+    });
+    self->connection.reset();
+    self->finish(std::nullopt);
+}
+
+// [SECTION] HttpCall
+
+HttpCall::HttpCall() = default;
+HttpCall::~HttpCall() = default;
+
+void HttpCall::cancel()
+{
+    if (d->isOver) {
+        return;
+    }
+    d->handlers = {};
+    d->breakConnection();
+    d->finish(std::nullopt);
+}
+
+void HttpCall::pauseReading(bool isPaused)
+{
+    if (d->isOver || !d->connection || d->isPaused == isPaused) {
+        return;
+    }
+    d->isPaused = isPaused;
+    bufferevent *bev = evhttp_connection_get_bufferevent(d->connection->raw);
+    if (isPaused) {
+        bufferevent_disable(bev, EV_READ);
+    } else {
+        bufferevent_enable(bev, EV_READ);
+        bufferevent_trigger(bev, EV_READ, 0);
+    }
+}
+
+// [SECTION] HttpClient
+
+HttpClient::HttpClient(EventLoop &loop)
+    : d(std::make_shared<HttpClientState>(loop))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    const auto open = d->calls;
+    for (const auto &call : open) {
+        call->handlers = {};
+        call->isOver = true;
+        call->raw = nullptr;
+        call->connection.reset();
+        call->deadline.reset();
+    }
+}
+
+static evhttp_cmd_type toCommand(const std::string &method)
+{
+    static const std::map<std::string, evhttp_cmd_type> commands = {
+        {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},       {"HEAD", EVHTTP_REQ_HEAD},   {"PUT", EVHTTP_REQ_PUT},
+        {"DELETE", EVHTTP_REQ_DELETE},   {"OPTIONS", EVHTTP_REQ_OPTIONS}, {"PATCH", EVHTTP_REQ_PATCH},
+    };
+    const auto it = commands.find(method);
+    return it == commands.end() ? EVHTTP_REQ_GET : it->second;
+}
+
+HttpCallPtr HttpClient::stream(const Address &address, HttpClientRequest request, HttpStreamHandlers handlers)
+{
+    const HttpCallPtr call(new HttpCall);
+    call->d = std::make_shared<HttpCallState>();
+    HttpCallState *state = call->d.get();
+    state->client = d.get();
+    state->handlers = std::move(handlers);
+    state->maxBodyBytes = request.maxBodyBytes;
+    state->connection = d->connection(address, request.useFreshConnection);
+    state->raw = evhttp_request_new(HttpCallState::onComplete, state);
+    evhttp_request_set_header_cb(state->raw, [](evhttp_request *, void *arg) {
+        const auto self = static_cast<HttpCallState *>(arg)->shared_from_this();
+        self->takeHead();
+        return 0;
+    });
+    evhttp_request_set_chunked_cb(state->raw, [](evhttp_request *, void *arg) {
+        const auto self = static_cast<HttpCallState *>(arg)->shared_from_this();
+        if (!self->isOver && self->raw) {
+            self->takeData();
+        }
+    });
+    evhttp_request_set_error_cb(state->raw, [](evhttp_request_error error, void *arg) {
+        auto *self = static_cast<HttpCallState *>(arg);
+        self->errorText = error == EVREQ_HTTP_TIMEOUT ? "no answer in time" : error == EVREQ_HTTP_INVALID_HEADER ? "malformed answer" : "connection lost";
+    });
+    evkeyvalq *fields = evhttp_request_get_output_headers(state->raw);
+    evhttp_add_header(fields, "Host", address.toString().c_str());
+    for (const HttpHeader &header : request.headers) {
+        evhttp_add_header(fields, header.name.c_str(), header.value.c_str());
+    }
+    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+    if (hasBody) {
+        evhttp_add_header(fields, "Content-Length", std::to_string(request.body.size()).c_str());
+        evbuffer_add(evhttp_request_get_output_buffer(state->raw), request.body.data(), request.body.size());
+    }
+    state->deadline = std::make_unique<Timer>(d->loop, [weak = std::weak_ptr(call->d)] {
+        const auto self = weak.lock();
+        if (self && !self->isOver) {
+            self->failWith("no answer in time", true);
+        }
+    });
+    state->deadline->start(request.timeout);
+    d->calls.insert(call->d);
+    const auto keep = call->d;
+    const int made = evhttp_make_request(state->connection->raw, state->raw, toCommand(request.method), request.path.c_str());
+    if (made != 0 && !state->isOver) {
+        d->loop.defer([keep] {
+            if (!keep->isOver) {
+                keep->raw = nullptr;
+                keep->failWith("request could not be started", false);
+            }
+        });
+    }
+    if (state->connection) {
+        const int on = 1;
+        const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(state->connection->raw));
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+    return call;
+}
+
+HttpCallPtr HttpClient::fetch(const Address &address, HttpClientRequest request, std::function<void(const HttpResult &)> done)
+{
+    auto result = std::make_shared<HttpResult>();
+    HttpStreamHandlers handlers;
+    handlers.onHead = [result](int status, const HttpHeaders &headers) {
+        result->status = status;
+        result->headers = headers;
+    };
+    handlers.onData = [result](std::string_view bytes) {
+        result->body.append(bytes);
+    };
+    handlers.onDone = [result, done = std::move(done)](const std::optional<HttpFailure> &failure) {
+        result->failure = failure;
+        done(*result);
+    };
+    return stream(address, std::move(request), std::move(handlers));
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,428 @@
+// Index: [SECTION] Exchange, [SECTION] Connection hooks, [SECTION] HttpServer, [SECTION] Query strings
+#include "http/server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <evhtp.h>
+#include <sys/socket.h>
+
+#include <netinet/tcp.h>
+
+#include <set>
+#include <unordered_map>
+
+namespace Parsleytrail
+{
+
+// [SECTION] Exchange
+
+struct Exchange::Private {
+    evhtp_request_t *raw = nullptr; ///< null once libevhtp has freed it
+    EventLoop *loop = nullptr;
+    HttpRequest request;
+    int refusal = 0;             ///< status to refuse with once the request is read; 0: none
+    std::string refusalText;     ///< reason for it
+    std::size_t bodyBytes = 0;   ///< received, also beyond the limit
+    bool isHandled = false;      ///< the handler was called
+    bool isBegun = false;
+    bool isEnded = false;
+    std::function<void()> closed;
+    std::function<void()> drained;
+
+    evbuffer *output() const
+    {
+        return bufferevent_get_output(evhtp_connection_get_bev(raw->conn));
+    }
+
+    /// Lets libevhtp go on with the connection's next request.
+    void finish()
+    {
+        isEnded = true;
+        drained = nullptr;
+        closed = nullptr;
+        evhtp_request_resume(raw);
+    }
+
+    void addHeaders(const HttpHeaders &headers)
+    {
+        for (const HttpHeader &header : headers) {
+            // A line break inside a value would let it forge further headers.
+            const bool isClean = header.value.find_first_of("\r\n") == std::string::npos && header.name.find_first_of("\r\n: ") == std::string::npos;
+            if (isClean) {
+                evhtp_headers_add_header(raw->headers_out, evhtp_header_new(header.name.c_str(), header.value.c_str(), 1, 1));
+            }
+        }
+    }
+};
+
+Exchange::Exchange()
+    : d(std::make_unique<Private>())
+{
+}
+
+Exchange::~Exchange() = default;
+
+const HttpRequest &Exchange::request() const
+{
+    return d->request;
+}
+
+bool Exchange::isOpen() const
+{
+    return d->raw && !d->isEnded;
+}
+
+bool Exchange::isBegun() const
+{
+    return d->isBegun;
+}
+
+std::size_t Exchange::buffered() const
+{
+    return isOpen() ? evbuffer_get_length(d->output()) : 0;
+}
+
+void Exchange::reply(int status, const HttpHeaders &headers, std::string_view body)
+{
+    if (!isOpen() || d->isBegun) {
+        return;
+    }
+    d->isBegun = true;
+    d->addHeaders(headers);
+    evbuffer_add(d->raw->buffer_out, body.data(), body.size());
+    evhtp_send_reply(d->raw, static_cast<evhtp_res>(status));
+    d->finish();
+}
+
+void Exchange::beginStream(int status, const HttpHeaders &headers)
+{
+    if (!isOpen() || d->isBegun) {
+        return;
+    }
+    d->isBegun = true;
+    d->addHeaders(headers);
+    evhtp_send_reply_chunk_start(d->raw, static_cast<evhtp_res>(status));
+}
+
+void Exchange::pushChunk(std::string_view bytes)
+{
+    if (!isOpen() || bytes.empty()) {
+        return;
+    }
+    evbuffer *buffer = evbuffer_new();
+    evbuffer_add(buffer, bytes.data(), bytes.size());
+    evhtp_send_reply_chunk(d->raw, buffer);
+    evbuffer_free(buffer);
+}
+
+void Exchange::endStream()
+{
+    if (!isOpen()) {
+        return;
+    }
+    evhtp_send_reply_chunk_end(d->raw);
+    d->finish();
+}
+
+void Exchange::abort()
+{
+    if (!isOpen()) {
+        return;
+    }
+    // libevhtp frees the connection when it sees the end of its socket; until then nothing more is sent.
+    d->isEnded = true;
+    d->closed = nullptr;
+    shutdown(bufferevent_getfd(evhtp_connection_get_bev(d->raw->conn)), SHUT_RDWR);
+    evhtp_request_resume(d->raw);
+}
+
+void Exchange::onClosed(std::function<void()> handler)
+{
+    d->closed = std::move(handler);
+}
+
+void Exchange::onDrained(std::function<void()> handler)
+{
+    d->drained = std::move(handler);
+}
+
+// [SECTION] Connection hooks
+
+struct HttpServer::Private {
+    EventLoop &loop;
+    HttpLimits limits;
+    Handler handler;
+    RefusalBody refusalBody;
+    evhtp_t *htp = nullptr;
+    std::unordered_map<evhtp_request_t *, ExchangePtr> exchanges;
+    std::unordered_map<evhtp_connection_t *, evhtp_request_t *> current; ///< request being answered on a connection
+    std::set<evhtp_connection_t *> connections; ///< all open ones; libevhtp keeps no list
+
+    ExchangePtr find(evhtp_request_t *raw) const
+    {
+        const auto it = exchanges.find(raw);
+        return it == exchanges.end() ? nullptr : it->second;
+    }
+
+    std::string refusalText(int status, const std::string &text) const
+    {
+        return refusalBody ? refusalBody(status, text) : text + "\n";
+    }
+
+    /// The exchange ends without an answer: the caller has gone.
+    static void markGone(const ExchangePtr &exchange)
+    {
+        exchange->d->raw = nullptr;
+        const auto closed = std::move(exchange->d->closed);
+        exchange->d->closed = nullptr;
+        exchange->d->drained = nullptr;
+        if (closed && !exchange->d->isEnded) {
+            exchange->d->loop->defer(closed);
+        }
+    }
+
+    static evhtp_res onHeaders(evhtp_request_t *raw, evhtp_headers_t *headers, void *arg);
+    static evhtp_res onRead(evhtp_request_t *raw, evbuffer *bytes, void *arg);
+    static evhtp_res onRequestFini(evhtp_request_t *raw, void *arg);
+    static evhtp_res onConnectionError(evhtp_connection_t *connection, evhtp_error_flags flags, void *arg);
+    static evhtp_res onConnectionFini(evhtp_connection_t *connection, void *arg);
+    static evhtp_res onWrite(evhtp_connection_t *connection, void *arg);
+    static void onEvent(evhtp_connection_t *connection, short events, void *arg);
+    static evhtp_res onAccept(evhtp_connection_t *connection, void *arg);
+    static void onRequest(evhtp_request_t *raw, void *arg);
+};
+
+static int collectHeader(evhtp_kv_t *field, void *arg)
+{
+    auto *headers = static_cast<HttpHeaders *>(arg);
+    headers->push_back({std::string(field->key, field->klen), std::string(field->val, field->vlen)});
+    return 0;
+}
+
+evhtp_res HttpServer::Private::onHeaders(evhtp_request_t *raw, evhtp_headers_t *headers, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const ExchangePtr exchange(new Exchange);
+    Exchange::Private &d = *exchange->d;
+    d.raw = raw;
+    d.loop = &server->loop;
+    d.request.method = htparser_get_methodstr_m(raw->method);
+    if (raw->uri && raw->uri->path && raw->uri->path->full) {
+        d.request.path = raw->uri->path->full;
+    }
+    if (raw->uri && raw->uri->query_raw) {
+        d.request.query = reinterpret_cast<const char *>(raw->uri->query_raw);
+    }
+    evhtp_kvs_for_each(headers, collectHeader, &d.request.headers);
+    std::size_t headerBytes = 0;
+    for (const HttpHeader &header : d.request.headers) {
+        headerBytes += header.name.size() + header.value.size() + 4;
+    }
+    if (headerBytes > server->limits.maxHeaderBytes) {
+        d.refusal = 431;
+        d.refusalText = "request headers over " + std::to_string(server->limits.maxHeaderBytes) + " bytes";
+    }
+    server->exchanges[raw] = exchange;
+    server->current[raw->conn] = raw;
+    return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Private::onRead(evhtp_request_t *raw, evbuffer *bytes, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const ExchangePtr exchange = server->find(raw);
+    const std::size_t size = evbuffer_get_length(bytes);
+    if (exchange) {
+        Exchange::Private &d = *exchange->d;
+        d.bodyBytes += size;
+        if (d.bodyBytes > server->limits.maxBodyBytes && !d.refusal) {
+            d.refusal = 413;
+            d.refusalText = "request body over " + std::to_string(server->limits.maxBodyBytes) + " bytes";
+            d.request.body.clear();
+        }
+        if (!d.refusal) {
+            const std::size_t before = d.request.body.size();
+            d.request.body.resize(before + size);
+            evbuffer_copyout(bytes, d.request.body.data() + before, size);
+        }
+    }
+    evbuffer_drain(bytes, size);
+    return EVHTP_RES_OK;
+}
+
+void HttpServer::Private::onRequest(evhtp_request_t *raw, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const ExchangePtr exchange = server->find(raw);
+    if (!exchange) {
+        evhtp_send_reply(raw, 500);
+        return;
+    }
+    exchange->d->isHandled = true;
+    evhtp_request_pause(raw);
+    // A paused connection is not read, so that a caller who hangs up would go unnoticed and its engines would run
+    // on. Reading into the buffer goes on; libevhtp leaves it alone until the request is resumed.
+    bufferevent_enable(evhtp_connection_get_bev(raw->conn), EV_READ);
+    if (exchange->d->refusal) {
+        exchange->reply(exchange->d->refusal, {{"Connection", "close"}, {"Content-Type", "application/problem+json"}, {"parsley-outcome", "not-run"}},
+                        server->refusalText(exchange->d->refusal, exchange->d->refusalText));
+        return;
+    }
+    server->handler(exchange);
+}
+
+evhtp_res HttpServer::Private::onRequestFini(evhtp_request_t *raw, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto it = server->exchanges.find(raw);
+    if (it != server->exchanges.end()) {
+        const ExchangePtr exchange = it->second;
+        server->exchanges.erase(it);
+        markGone(exchange);
+    }
+    if (const auto open = server->current.find(raw->conn); open != server->current.end() && open->second == raw) {
+        server->current.erase(open);
+    }
+    return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Private::onConnectionError(evhtp_connection_t *connection, evhtp_error_flags, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto open = server->current.find(connection);
+    const ExchangePtr exchange = open == server->current.end() ? nullptr : server->find(open->second);
+    if (exchange && exchange->d->isHandled) {
+        return EVHTP_RES_OK;
+    }
+    // libevhtp closes the connection of a malformed request without a word; the caller would only see it break.
+    const std::string body = server->refusalText(400, "malformed HTTP request");
+    const std::string answer = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nparsley-outcome: not-run\r\nContent-Type: application/problem+json\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    send(bufferevent_getfd(evhtp_connection_get_bev(connection)), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Private::onConnectionFini(evhtp_connection_t *connection, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    server->current.erase(connection);
+    server->connections.erase(connection);
+    return EVHTP_RES_OK;
+}
+
+evhtp_res HttpServer::Private::onWrite(evhtp_connection_t *connection, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto open = server->current.find(connection);
+    const ExchangePtr exchange = open == server->current.end() ? nullptr : server->find(open->second);
+    if (exchange && exchange->d->drained) {
+        const auto drained = exchange->d->drained;
+        drained();
+    }
+    return EVHTP_RES_OK;
+}
+
+void HttpServer::Private::onEvent(evhtp_connection_t *connection, short events, void *arg)
+{
+    auto *server = static_cast<Private *>(arg);
+    const auto open = server->current.find(connection);
+    const ExchangePtr exchange = open == server->current.end() ? nullptr : server->find(open->second);
+    const bool isLost = events & (BEV_EVENT_EOF | BEV_EVENT_ERROR);
+    if (!exchange || !exchange->d->isHandled || !isLost || exchange->d->isEnded || !exchange->d->raw) {
+        return;
+    }
+    evhtp_request_t *raw = exchange->d->raw;
+    markGone(exchange);
+    // A paused connection is freed by libevhtp only when it is resumed.
+    server->exchanges.erase(raw);
+    evhtp_request_resume(raw);
+}
+
+evhtp_res HttpServer::Private::onAccept(evhtp_connection_t *connection, void *arg)
+{
+    static_cast<Private *>(arg)->connections.insert(connection);
+    const int on = 1;
+    setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto hook = [&](evhtp_hook_type type, auto function) {
+        // libevhtp takes all hooks as one type and casts them back by `type`.
+        evhtp_connection_set_hook(connection, type, reinterpret_cast<evhtp_hook>(reinterpret_cast<void *>(function)), arg);
+    };
+    hook(evhtp_hook_on_headers, onHeaders);
+    hook(evhtp_hook_on_read, onRead);
+    hook(evhtp_hook_on_request_fini, onRequestFini);
+    hook(evhtp_hook_on_conn_error, onConnectionError);
+    hook(evhtp_hook_on_connection_fini, onConnectionFini);
+    hook(evhtp_hook_on_write, onWrite);
+    hook(evhtp_hook_on_event, onEvent);
+    return EVHTP_RES_OK;
+}
+
+// [SECTION] HttpServer
+
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, Handler handler, RefusalBody refusalBody)
+    : d(new Private{loop, limits, std::move(handler), std::move(refusalBody), nullptr, {}, {}, {}})
+{
+    d->htp = evhtp_new(loop.base(), nullptr);
+    // Far over the limit the connection is cut; up to there the body is read and dropped, so that the caller,
+    // which may still be writing, gets to read the refusal.
+    evhtp_set_max_body_size(d->htp, d->limits.maxBodyBytes * 16);
+    evhtp_set_post_accept_cb(d->htp, Private::onAccept, d.get());
+    evhtp_set_gencb(d->htp, Private::onRequest, d.get());
+}
+
+HttpServer::~HttpServer()
+{
+    for (auto &[raw, exchange] : d->exchanges) {
+        exchange->d->closed = nullptr;
+        exchange->d->raw = nullptr;
+    }
+    if (d->htp->server) {
+        evhtp_unbind_socket(d->htp);
+    }
+    const std::set<evhtp_connection_t *> open = d->connections;
+    d->exchanges.clear();
+    for (evhtp_connection_t *connection : open) {
+        evhtp_connection_free(connection);
+    }
+    evhtp_free(d->htp);
+}
+
+Result<Address> HttpServer::listen(const Address &address)
+{
+    if (evhtp_bind_socket(d->htp, address.host.c_str(), address.port, 1024) != 0) {
+        return fail("listen for HTTP", address.toString(), evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    }
+    sockaddr_in taken{};
+    socklen_t size = sizeof taken;
+    getsockname(evconnlistener_get_fd(d->htp->server), reinterpret_cast<sockaddr *>(&taken), &size);
+    return Address{address.host, ntohs(taken.sin_port)};
+}
+
+// [SECTION] Query strings
+
+std::optional<std::string> queryParameter(std::string_view query, std::string_view name)
+{
+    evkeyvalq fields{};
+    std::optional<std::string> result;
+    if (evhttp_parse_query_str(std::string(query).c_str(), &fields) == 0) {
+        if (const char *value = evhttp_find_header(&fields, std::string(name).c_str())) {
+            result = value;
+        }
+    }
+    evhttp_clear_headers(&fields);
+    // evhttp drops parameters without "=", such as ?dry-run.
+    std::string_view rest = query;
+    while (!result && !rest.empty()) {
+        const std::size_t end = rest.find('&');
+        if (rest.substr(0, end) == name) {
+            result = "";
+        }
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return result;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/platform/store.cpp
@@ -0,0 +1,249 @@
+#include "platform/store.h"
+
+#include "base/log.h"
+#include "policy/budget.h"
+#include "policy/circuit.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+const char *toString(StoreStatus status)
+{
+    switch (status) {
+    case StoreStatus::Ok:
+        return "ok";
+    case StoreStatus::NotFound:
+        return "not found";
+    case StoreStatus::Conflict:
+        return "conflict";
+    case StoreStatus::Unavailable:
+        return "unavailable";
+    case StoreStatus::Unknown:
+        return "unknown";
+    }
+    return "?";
+}
+
+enum class Access { Read, Write };
+
+struct Store::Private {
+    EventLoop &loop;
+    const Clock &clock;
+    HttpClient &client;
+    Address platform;
+    StoreLimits limits;
+    Circuit circuit;
+    RateBudget readBudget;
+    RateBudget writeBudget;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< callbacks of calls that outlive this object do nothing
+
+    using Done = std::function<void(StoreStatus, const std::string &)>;
+    void call(Access access, HttpClientRequest request, Done done);
+    void refuse(const Done &done, const char *why);
+    StoreStatus judge(Access access, const HttpResult &result);
+};
+
+void Store::Private::refuse(const Done &done, const char *why)
+{
+    loop.defer([done, text = std::string(why)] {
+        done(StoreStatus::Unavailable, text);
+    });
+}
+
+StoreStatus Store::Private::judge(Access access, const HttpResult &result)
+{
+    const bool hasFailed = result.failure || result.status >= 500;
+    if (!hasFailed) {
+        if (noteSuccess(circuit)) {
+            logEvent(Event::StoreBack, {{"peer", platform.toString()}});
+        }
+        return result.status == 404 ? StoreStatus::NotFound : result.status == 409 ? StoreStatus::Conflict : result.status < 300 ? StoreStatus::Ok : StoreStatus::Unavailable;
+    }
+    if (noteFailure(circuit, clock.now())) {
+        logEvent(Event::StoreUnreachable, {{"peer", platform.toString()}, {"reason", result.failure ? result.failure->error.text : std::to_string(result.status)}});
+    }
+    const bool mayHaveRun = access == Access::Write && (!result.failure || result.failure->wasHandedOver) && result.status != 503;
+    return mayHaveRun ? StoreStatus::Unknown : StoreStatus::Unavailable;
+}
+
+void Store::Private::call(Access access, HttpClientRequest request, Done done)
+{
+    const TimePoint now = clock.now();
+    if (!tryPass(circuit, now)) {
+        return refuse(done, "circuit open");
+    }
+    if (!tryTake(access == Access::Read ? readBudget : writeBudget, now)) {
+        circuit.isProbing = false;
+        return refuse(done, "over this process's share of the store");
+    }
+    ++(access == Access::Read ? reads : writes);
+    request.timeout = limits.timeout;
+    client.fetch(platform, std::move(request), [this, access, done, alive = std::weak_ptr(alive)](const HttpResult &result) {
+        if (!alive.expired()) {
+            done(judge(access, result), result.body);
+        }
+    });
+}
+
+Store::Store(EventLoop &loop, const Clock &clock, HttpClient &client, Address platform, StoreLimits limits)
+    : d(new Private{loop, clock, client, std::move(platform), limits, {}, {limits.readsPerSecond, limits.burst}, {limits.writesPerSecond, limits.burst}})
+{
+}
+
+Store::~Store() = default;
+
+/// Parses an answer; malformed JSON counts as a store that does not work.
+static bool parseAnswer(const std::string &text, json &answer)
+{
+    answer = json::parse(text, nullptr, false);
+    return answer.is_object();
+}
+
+static Row toRow(const json &item)
+{
+    return {item.value("key", ""), item.value("version", std::uint64_t{0}), item.value("value", "")};
+}
+
+/// Percent-encodes what has a meaning in a URL.
+static std::string urlEscape(std::string_view text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        const bool isPlain = std::isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.' || c == '~';
+        if (isPlain) {
+            escaped += c;
+        } else {
+            absl::StrAppend(&escaped, "%", absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad2));
+        }
+    }
+    return escaped;
+}
+
+void Store::readRow(const std::string &table, const std::string &key, std::function<void(StoreStatus, const Row &)> done)
+{
+    HttpClientRequest request;
+    request.path = absl::StrCat("/tables/", table, "/rows/", urlEscape(key));
+    d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
+        json answer;
+        if (status != StoreStatus::Ok) {
+            return done(status, {});
+        }
+        if (!parseAnswer(body, answer)) {
+            return done(StoreStatus::Unavailable, {});
+        }
+        done(StoreStatus::Ok, toRow(answer));
+    });
+}
+
+void Store::scanRows(const std::string &table, const std::string &from, const std::string &to, int limit,
+                     std::function<void(StoreStatus, const std::vector<Row> &)> done)
+{
+    HttpClientRequest request;
+    request.path = absl::StrCat("/tables/", table, "/rows?from=", urlEscape(from), "&to=", urlEscape(to), "&limit=", limit);
+    d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
+        json answer;
+        if (status == StoreStatus::Ok && !parseAnswer(body, answer)) {
+            status = StoreStatus::Unavailable;
+        }
+        std::vector<Row> rows;
+        if (status == StoreStatus::Ok && answer.contains("rows")) {
+            for (const json &item : answer["rows"]) {
+                rows.push_back(toRow(item));
+            }
+        }
+        done(status, rows);
+    });
+}
+
+void Store::transact(const std::vector<RowWrite> &writes, std::function<void(StoreStatus)> done)
+{
+    json items = json::array();
+    for (const RowWrite &write : writes) {
+        items.push_back({{"table", write.table}, {"key", write.key}, {"value", write.value}, {"if-version", write.ifVersion}});
+    }
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/transactions";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json{{"writes", items}}.dump();
+    d->call(Access::Write, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &) {
+        done(status);
+    });
+}
+
+void Store::putObject(const std::string &name, const std::string &bytes, std::function<void(StoreStatus)> done)
+{
+    HttpClientRequest request;
+    request.method = "PUT";
+    request.path = absl::StrCat("/objects/", urlEscape(name));
+    request.body = bytes;
+    d->call(Access::Write, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &) {
+        done(status);
+    });
+}
+
+void Store::readObject(const std::string &name, std::function<void(StoreStatus, const std::string &)> done)
+{
+    HttpClientRequest request;
+    request.path = absl::StrCat("/objects/", urlEscape(name));
+    d->call(Access::Read, std::move(request), std::move(done));
+}
+
+void Store::readMembership(std::function<void(StoreStatus, const std::vector<ListedInstance> &)> done)
+{
+    HttpClientRequest request;
+    request.path = "/membership";
+    d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
+        json answer;
+        if (status == StoreStatus::Ok && !parseAnswer(body, answer)) {
+            status = StoreStatus::Unavailable;
+        }
+        std::vector<ListedInstance> instances;
+        if (status != StoreStatus::Ok || !answer.contains("instances")) {
+            return done(status, instances);
+        }
+        for (const json &item : answer["instances"]) {
+            ListedInstance instance;
+            instance.id = item.value("id", "");
+            instance.role = item.value("role", "");
+            instance.address = {item.value("host", ""), item.value("port", std::uint16_t{0})};
+            instance.isLeaving = item.value("state", "") == "leaving";
+            instances.push_back(std::move(instance));
+        }
+        done(status, instances);
+    });
+}
+
+bool Store::isDown() const
+{
+    return isOpen(d->circuit);
+}
+
+milliseconds Store::retryAfter() const
+{
+    if (!isDown()) {
+        return milliseconds(0);
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(d->circuit.probeAt - d->clock.now());
+    return std::max(left, milliseconds(0));
+}
+
+std::uint64_t Store::reads() const
+{
+    return d->reads;
+}
+
+std::uint64_t Store::writes() const
+{
+    return d->writes;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/policy/budget.cpp
@@ -0,0 +1,38 @@
+#include "policy/budget.h"
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+bool tryTake(RateBudget &budget, TimePoint now)
+{
+    if (budget.filledAt == TimePoint{}) {
+        budget.tokens = budget.burst;
+        budget.filledAt = now;
+    }
+    const std::chrono::duration<double> passed = now - budget.filledAt;
+    budget.tokens = std::min(budget.burst, budget.tokens + passed.count() * budget.perSecond);
+    budget.filledAt = now;
+    if (budget.tokens < 1) {
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
+void noteRequest(RetryBudget &budget)
+{
+    budget.saved = std::min(budget.burst, budget.saved + budget.share);
+}
+
+bool tryRetry(RetryBudget &budget)
+{
+    if (budget.saved < 1) {
+        return false;
+    }
+    budget.saved -= 1;
+    return true;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/policy/circuit.cpp
@@ -0,0 +1,47 @@
+#include "policy/circuit.h"
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+bool isOpen(const Circuit &circuit)
+{
+    return circuit.pause.count() > 0;
+}
+
+bool tryPass(Circuit &circuit, TimePoint now)
+{
+    if (!isOpen(circuit)) {
+        return true;
+    }
+    if (circuit.isProbing || now < circuit.probeAt) {
+        return false;
+    }
+    circuit.isProbing = true;
+    return true;
+}
+
+bool noteSuccess(Circuit &circuit)
+{
+    const bool wasOpen = isOpen(circuit);
+    circuit.failures = 0;
+    circuit.pause = milliseconds(0);
+    circuit.isProbing = false;
+    return wasOpen;
+}
+
+bool noteFailure(Circuit &circuit, TimePoint now)
+{
+    const bool wasOpen = isOpen(circuit);
+    ++circuit.failures;
+    circuit.isProbing = false;
+    if (circuit.failures < circuit.failuresToOpen) {
+        return false;
+    }
+    circuit.pause = wasOpen ? std::min(circuit.pause * 2, circuit.longestPause) : circuit.firstPause;
+    circuit.probeAt = now + circuit.pause;
+    return !wasOpen;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/policy/progress.h
@@ -0,0 +1,36 @@
+// Noticing that a stream stands still, and finding the stage at fault.
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Parsleytrail
+{
+
+/// Smoothed mean and deviation of a time, as TCP keeps them for its retransmission timer (RFC 6298).
+struct TimeEstimate {
+    double meanSeconds = 0;      ///< 0: nothing seen
+    double deviationSeconds = 0; ///< mean deviation
+};
+void noteTime(TimeEstimate &estimate, double seconds);
+/// Time after which something is overdue: mean + 4 deviations, within [shortest, longest]; `longest` while nothing was seen.
+milliseconds overdueAfter(const TimeEstimate &estimate, milliseconds shortest, milliseconds longest);
+
+/// Progress of one stage; nothing if it did not answer.
+struct StageProgress {
+    std::uint32_t received = 0; ///< positions received
+    std::uint32_t applied = 0;  ///< positions applied by the engine
+    std::uint32_t sent = 0;     ///< positions passed on
+    bool isKnown = true;        ///< false: the sidecar does not know the stream
+};
+
+/// The stage to replace, or nothing if all have done what they could.
+///
+/// The first stage that did not answer or lost the stream is at fault; otherwise the first whose engine holds inputs
+/// that it has not applied; otherwise the first that has not received what the stage before it has sent.
+std::optional<std::uint32_t> blameStage(const std::vector<std::optional<StageProgress>> &stages);
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/policy/target.cpp
@@ -0,0 +1,42 @@
+#include "policy/target.h"
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+bool takesNewWork(const TargetView &target, TimePoint now)
+{
+    const bool isReady = target.last.state == TargetState::Ready;
+    return isReady && !target.isSilent && !target.isLeaving && now >= target.ejectedUntil;
+}
+
+double expectedMicros(const TargetView &target, TimePoint now)
+{
+    const double step = target.last.stepMicros > 0 ? target.last.stepMicros : defaultStepMicros;
+    // The report is old by up to an announcement interval; what this entry opened since is counted by itself.
+    const double open = std::max(target.last.streams, target.openHere);
+    // A target that has just joined starts with an empty queue and looks best to every entry at once; without the
+    // ramp they would all send their next requests there.
+    const std::chrono::duration<double> age = now - target.joinedAt;
+    const double ramp = std::clamp(age / std::chrono::duration<double>(rampTime), 0.2, 1.0);
+    return step * (1 + open + target.last.queued) / ramp;
+}
+
+void noteTargetFailure(TargetView &target, TimePoint now, std::size_t ejected, std::size_t alive)
+{
+    ++target.failuresInRow;
+    const bool wouldLeaveTooFew = (ejected + 1) * 2 > alive;
+    if (wouldLeaveTooFew) {
+        return;
+    }
+    const auto doublings = std::min<std::uint32_t>(target.failuresInRow - 1, 5);
+    target.ejectedUntil = now + std::min(firstEjection * (1 << doublings), longestEjection);
+}
+
+void noteTargetSuccess(TargetView &target)
+{
+    target.failuresInRow = 0;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/sidecar/announcer.cpp
@@ -0,0 +1,152 @@
+#include "sidecar/announcer.h"
+
+#include "policy/rendezvous.h"
+
+#include <map>
+
+namespace Parsleytrail
+{
+
+struct Announcer::Private {
+    SidecarContext &context;
+    Store &store;
+    Datagrams &datagrams;
+    std::vector<Address> seeds;
+    std::function<void(Announcement &)> describe;
+    Address self;
+    std::uint64_t sequence = 0;
+    std::map<Address, TimePoint> known; ///< entries, with when they were last heard of
+    TimePoint nextPoll{};
+    Timer timer;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Private(SidecarContext &sidecarContext, Store &sidecarStore, Datagrams &sidecarDatagrams, std::vector<Address> seedEntries,
+            std::function<void(Announcement &)> describeSelf)
+        : context(sidecarContext)
+        , store(sidecarStore)
+        , datagrams(sidecarDatagrams)
+        , seeds(std::move(seedEntries))
+        , describe(std::move(describeSelf))
+        , timer(sidecarContext.loop, [this] {
+            tick();
+        })
+    {
+    }
+
+    void tick();
+    void announce();
+    void pollMembership();
+    std::vector<Address> picked() const;
+};
+
+std::vector<Address> Announcer::Private::picked() const
+{
+    std::vector<Address> all = seeds;
+    for (const auto &[address, heardAt] : known) {
+        if (std::find(all.begin(), all.end(), address) == all.end()) {
+            all.push_back(address);
+        }
+    }
+    std::vector<std::string> names;
+    for (const Address &address : all) {
+        names.push_back(address.toString());
+    }
+    std::vector<Address> result;
+    for (const std::size_t index : pickPeers(context.settings.id, names, static_cast<std::size_t>(context.settings.announceEntries))) {
+        result.push_back(all[index]);
+    }
+    return result;
+}
+
+void Announcer::Private::announce()
+{
+    Announcement announcement;
+    announcement.target.value = context.settings.id;
+    announcement.incarnation = context.incarnation;
+    announcement.sequence = ++sequence;
+    announcement.region = context.settings.region;
+    announcement.dataCenter = context.settings.dataCenter;
+    announcement.host = self.host;
+    announcement.port = self.port;
+    announcement.targetClass = context.settings.targetClass;
+    announcement.wireVersion = static_cast<std::uint16_t>(context.settings.wireVersion);
+    describe(announcement);
+    for (const Address &entry : picked()) {
+        datagrams.send(entry, announcement);
+    }
+}
+
+void Announcer::Private::pollMembership()
+{
+    const TimePoint now = context.clock.now();
+    if (now < nextPoll) {
+        return;
+    }
+    nextPoll = now + (known.empty() ? membershipPollAlone : membershipPoll);
+    store.readMembership([this, weak = std::weak_ptr(alive)](StoreStatus status, const std::vector<ListedInstance> &instances) {
+        if (weak.expired() || status != StoreStatus::Ok) {
+            return;
+        }
+        for (const ListedInstance &instance : instances) {
+            if (instance.role == "entry" && !instance.isLeaving) {
+                known[instance.address] = context.clock.now();
+            }
+        }
+    });
+}
+
+void Announcer::Private::tick()
+{
+    pollMembership();
+    const TimePoint now = context.clock.now();
+    // With the store away and nothing heard, an old list is better than none.
+    if (!store.isDown()) {
+        std::erase_if(known, [&](const auto &item) {
+            return now - item.second >= entryLife;
+        });
+    }
+    announce();
+}
+
+Announcer::Announcer(SidecarContext &context, Store &store, Datagrams &datagrams, std::vector<Address> seeds, std::function<void(Announcement &)> describe)
+    : d(std::make_unique<Private>(context, store, datagrams, std::move(seeds), std::move(describe)))
+{
+}
+
+Announcer::~Announcer() = default;
+
+void Announcer::start(const Address &self)
+{
+    d->self = self;
+    d->timer.startRepeating(d->context.settings.announceInterval);
+    d->tick();
+}
+
+void Announcer::announce()
+{
+    d->announce();
+}
+
+void Announcer::heardEntry(const EntryAnnouncement &entry)
+{
+    const Address address{entry.host, entry.port};
+    if (entry.region != d->context.settings.region) {
+        return;
+    }
+    if (entry.state == TargetState::Draining) {
+        d->known.erase(address);
+        return;
+    }
+    const bool isNew = !d->known.count(address);
+    d->known[address] = d->context.clock.now();
+    if (isNew) {
+        d->announce();
+    }
+}
+
+std::vector<Address> Announcer::entries() const
+{
+    return d->picked();
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/sidecar/engine_client.cpp
@@ -0,0 +1,268 @@
+// Index: [SECTION] Encoding, [SECTION] Steps, [SECTION] Health, [SECTION] EngineClient
+#include "sidecar/engine_client.h"
+
+#include "base/log.h"
+#include "policy/progress.h"
+
+#include <nlohmann/json.hpp>
+
+#include <deque>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+constexpr std::size_t maxStepAnswerBytes = 64u << 20;
+constexpr std::uint32_t failuresToUnhealthy = 2; ///< reports missed in a row
+
+// [SECTION] Encoding
+
+static json encodeItem(const StepItem &item)
+{
+    json encoded = {{"stream", item.request.value}, {"position", item.input.position}, {"model", item.model.value},
+                    {"version", item.version},      {"adapter", item.adapter},         {"priority", item.priority}};
+    if (item.isReset) {
+        encoded["reset"] = true;
+    }
+    if (item.input.withPrompt) {
+        encoded["prompt"] = item.prompt;
+    }
+    if (item.promptLength > 0) {
+        encoded["promptLength"] = item.promptLength;
+    }
+    encoded[item.isFirst ? "tokens" : "activations"] = item.input.values;
+    return encoded;
+}
+
+/// Throws json::exception on anything unexpected.
+static StepResult decodeItem(const json &item)
+{
+    StepResult result;
+    if (item.contains("error")) {
+        result.end = StepEnd::Refused;
+        result.error = item["error"].get<std::string>();
+        return result;
+    }
+    result.end = StepEnd::Done;
+    result.promptLength = item.at("promptLength").get<std::uint32_t>();
+    result.positions = item.at("positions").get<std::uint32_t>();
+    if (item.contains("activations")) {
+        result.activations = item["activations"].get<std::vector<std::uint64_t>>();
+    }
+    if (item.contains("tokens")) {
+        for (const json &token : item["tokens"]) {
+            const bool isEnd = token.at(2).get<bool>();
+            result.tokens.push_back({token.at(0).get<std::uint32_t>(), token.at(1).get<std::string>(), isEnd ? FinishReason::Stop : FinishReason::None});
+        }
+    }
+    return result;
+}
+
+// [SECTION] Steps
+
+/// A stream's part with the one who waits for it.
+struct PendingItem {
+    StepItem item;                ///< what to do
+    EngineClient::StepDone done; ///< called once
+};
+
+struct EngineClient::Private {
+    SidecarContext &context;
+    std::deque<PendingItem> queue;
+    std::size_t inFlight = 0;
+    bool isSendScheduled = false;
+    EngineReport report;
+    std::uint32_t missedReports = 0;
+    bool isRefreshing = false;
+    TimeEstimate stepTime;
+    TimeHistogram &stepHistogram;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    void scheduleSend();
+    void send();
+    void finish(std::vector<PendingItem> &items, const HttpResult &result);
+    void takeReport(const HttpResult &result);
+};
+
+void EngineClient::Private::scheduleSend()
+{
+    if (isSendScheduled || inFlight >= maxStepsInFlight || queue.empty()) {
+        return;
+    }
+    isSendScheduled = true;
+    // What other frames of this turn of the loop bring joins the same request.
+    context.loop.defer([this, weak = std::weak_ptr(alive)] {
+        if (!weak.expired()) {
+            isSendScheduled = false;
+            send();
+        }
+    });
+}
+
+void EngineClient::Private::send()
+{
+    if (inFlight >= maxStepsInFlight || queue.empty()) {
+        return;
+    }
+    std::vector<PendingItem> items;
+    json encoded = json::array();
+    while (!queue.empty() && items.size() < maxItemsInStep) {
+        items.push_back(std::move(queue.front()));
+        queue.pop_front();
+        encoded.push_back(encodeItem(items.back().item));
+    }
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/engine/v1/step";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json{{"items", std::move(encoded)}}.dump(-1, ' ', false, json::error_handler_t::replace);
+    request.timeout = context.settings.stepTimeout;
+    request.maxBodyBytes = maxStepAnswerBytes;
+    ++inFlight;
+    const TimePoint started = context.clock.now();
+    const auto shared = std::make_shared<std::vector<PendingItem>>(std::move(items));
+    context.client.fetch(context.targetAddress, std::move(request), [this, shared, started, weak = std::weak_ptr(alive)](const HttpResult &result) {
+        if (weak.expired()) {
+            return;
+        }
+        --inFlight;
+        const double seconds = std::chrono::duration<double>(context.clock.now() - started).count();
+        if (result.isOk()) {
+            noteTime(stepTime, seconds);
+            stepHistogram.record(seconds);
+        }
+        scheduleSend();
+        finish(*shared, result);
+    });
+    scheduleSend();
+}
+
+void EngineClient::Private::finish(std::vector<PendingItem> &items, const HttpResult &result)
+{
+    StepResult lost;
+    std::vector<StepResult> results;
+    if (result.failure) {
+        lost.end = result.failure->isTimeout ? StepEnd::TimedOut : StepEnd::Lost;
+        lost.error = result.failure->error.toString();
+    } else {
+        const json answer = json::parse(result.body, nullptr, false);
+        lost.error = "malformed answer with status " + std::to_string(result.status);
+        try {
+            for (const json &item : answer.at("items")) {
+                results.push_back(decodeItem(item));
+            }
+        } catch (const json::exception &) {
+            results.clear();
+        }
+    }
+    if (results.size() != items.size()) {
+        results.assign(items.size(), lost);
+    }
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        items[i].done(results[i]);
+    }
+}
+
+// [SECTION] Health
+
+void EngineClient::Private::takeReport(const HttpResult &result)
+{
+    const json answer = result.isOk() ? json::parse(result.body, nullptr, false) : json();
+    if (!answer.is_object()) {
+        ++missedReports;
+        if (missedReports >= failuresToUnhealthy && report.isHealthy) {
+            report.isHealthy = false;
+            logEvent(Event::TargetUnhealthy, {{"peer", context.targetAddress.toString()}});
+        }
+        return;
+    }
+    missedReports = 0;
+    if (!report.isHealthy) {
+        logEvent(Event::TargetHealthy, {{"peer", context.targetAddress.toString()}});
+    }
+    try {
+        EngineReport fresh;
+        fresh.isHealthy = true;
+        fresh.model.value = answer.value("model", "");
+        fresh.version = answer.value("version", "");
+        fresh.adapters = answer.value("adapters", std::vector<std::string>());
+        fresh.layerBegin = answer.value("layerBegin", 0u);
+        fresh.layerEnd = answer.value("layerEnd", 0u);
+        fresh.kvUsed = answer.value("kvUsed", 0u);
+        fresh.kvCapacity = answer.value("kvCapacity", 0u);
+        report = std::move(fresh);
+    } catch (const json::exception &) {
+        report.isHealthy = false;
+    }
+}
+
+// [SECTION] EngineClient
+
+EngineClient::EngineClient(SidecarContext &context)
+    : d(new Private{context, {}, 0, false, {}, 0, false, {}, context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
+{
+}
+
+EngineClient::~EngineClient() = default;
+
+void EngineClient::submit(StepItem item, StepDone done)
+{
+    d->queue.push_back({std::move(item), std::move(done)});
+    d->scheduleSend();
+}
+
+void EngineClient::cancel(const std::vector<RequestId> &requests)
+{
+    if (requests.empty()) {
+        return;
+    }
+    json streams = json::array();
+    for (const RequestId &request : requests) {
+        streams.push_back(request.value);
+    }
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/engine/v1/cancel";
+    request.body = json{{"streams", std::move(streams)}}.dump();
+    // Lost or refused, nothing is waiting for it: the engine frees a stream that is not stepped, and resets one that
+    // comes back.
+    d->context.client.fetch(d->context.targetAddress, std::move(request), [](const HttpResult &) {});
+}
+
+void EngineClient::refresh(std::function<void()> changed)
+{
+    if (d->isRefreshing) {
+        return;
+    }
+    d->isRefreshing = true;
+    HttpClientRequest request;
+    request.path = "/engine/v1/status";
+    request.timeout = d->context.settings.stepTimeout;
+    d->context.client.fetch(d->context.targetAddress, std::move(request),
+                            [this, changed = std::move(changed), weak = std::weak_ptr(d->alive)](const HttpResult &result) {
+                                if (weak.expired()) {
+                                    return;
+                                }
+                                d->isRefreshing = false;
+                                d->takeReport(result);
+                                changed();
+                            });
+}
+
+const EngineReport &EngineClient::report() const
+{
+    return d->report;
+}
+
+std::size_t EngineClient::queued() const
+{
+    return d->queue.size();
+}
+
+std::uint32_t EngineClient::stepMicros() const
+{
+    return static_cast<std::uint32_t>(d->stepTime.meanSeconds * 1e6);
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,391 @@
+// Index: [SECTION] Parts, [SECTION] Frames, [SECTION] Announcing, [SECTION] Views, [SECTION] Sidecar
+#include "sidecar/sidecar.h"
+
+#include "base/log.h"
+#include "http/operator_server.h"
+#include "sidecar/announcer.h"
+#include "sidecar/calls.h"
+#include "sidecar/stages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+constexpr milliseconds sweepInterval{500};
+
+// [SECTION] Parts
+
+static Incarnation startOf(const Clock &clock)
+{
+    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(clock.wallTime().time_since_epoch()).count())};
+}
+
+struct Sidecar::Private {
+    SidecarSettings settings;
+    EventLoop &loop;
+    const Clock &clock;
+    Incarnation incarnation;
+    bool isApplication;
+    Metrics metrics;
+    History history;
+    HttpClient client;
+    std::unique_ptr<LinkPool> peers;
+    std::unique_ptr<SidecarContext> context;
+    std::unique_ptr<Store> store;
+    std::unique_ptr<EngineClient> engine;
+    std::unique_ptr<Stages> stages;
+    std::unique_ptr<Calls> calls;
+    std::unique_ptr<Datagrams> datagrams;
+    std::unique_ptr<Announcer> announcer;
+    std::unique_ptr<LinkServer> links;
+    std::unique_ptr<OperatorServer> operators;
+    Configuration configuration;
+    Address linkAddress;
+    Address operatorAddress;
+    Timer sweepTimer;
+    Timer healthTimer;
+    Timer drainTimer;
+    TimePoint drainStartedAt{};
+    std::function<void()> drained;
+    bool isTargetHealthy = false;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    Private(EventLoop &eventLoop, const Clock &systemClock, SidecarSettings sidecarSettings);
+    Result<void> makeParts();
+    Result<void> listen();
+
+    bool takeFrame(const LinkPtr &link, const Frame &frame);
+    bool takeConfiguration(const LinkPtr &link, const Frame &frame);
+    void takeDatagram(const Frame &frame);
+    void checkTarget();
+    void describe(Announcement &announcement) const;
+    TargetState state() const;
+    std::size_t open() const;
+    void checkDrained();
+    json view() const;
+    void refreshMetrics();
+};
+
+Sidecar::Private::Private(EventLoop &eventLoop, const Clock &systemClock, SidecarSettings sidecarSettings)
+    : settings(std::move(sidecarSettings))
+    , loop(eventLoop)
+    , clock(systemClock)
+    , incarnation(startOf(systemClock))
+    , isApplication(settings.kind == "application")
+    , history(systemClock, settings.id)
+    , client(eventLoop)
+    , sweepTimer(eventLoop, [this] { stages->sweep(); })
+    , healthTimer(eventLoop, [this] { checkTarget(); })
+    , drainTimer(eventLoop, [this] { checkDrained(); })
+{
+}
+
+static Result<std::vector<Address>> parseAddresses(const std::vector<std::string> &texts)
+{
+    std::vector<Address> addresses;
+    for (const std::string &text : texts) {
+        BOOST_LEAF_AUTO(address, parseAddress(text));
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+Result<void> Sidecar::Private::makeParts()
+{
+    if (!settings.historyFile.empty() && !history.openFile(settings.historyFile)) {
+        return fail("open history", settings.historyFile, "cannot be written");
+    }
+    BOOST_LEAF_AUTO(targetAddress, parseAddress(settings.target));
+    BOOST_LEAF_AUTO(platformAddress, parseAddress(settings.platform));
+    BOOST_LEAF_AUTO(seeds, parseAddresses(settings.entries));
+    const auto wireVersion = static_cast<std::uint16_t>(settings.wireVersion);
+    const LinkIdentity identity{{Role::Sidecar, settings.id, incarnation}, wireVersion};
+    LinkHandlers outgoing;
+    outgoing.onFrame = [this](const LinkPtr &link, const Frame &frame) {
+        return takeFrame(link, frame);
+    };
+    outgoing.onClosed = [this](const LinkPtr &link, const Error &error) {
+        logEvent(Event::LinkLost, {{"peer", link->peerName()}, {"reason", error.text}});
+        stages->nextStageGone(link->peerName(), error);
+    };
+    peers = std::make_unique<LinkPool>(loop, identity, outgoing);
+    context.reset(new SidecarContext{loop, clock, settings, incarnation, targetAddress, client, *peers, metrics, history});
+    store = std::make_unique<Store>(loop, clock, client, platformAddress, StoreLimits{});
+    engine = std::make_unique<EngineClient>(*context);
+    stages = std::make_unique<Stages>(*context, *engine);
+    calls = std::make_unique<Calls>(*context);
+    datagrams = std::make_unique<Datagrams>(loop, wireVersion, [this](const Frame &frame) {
+        takeDatagram(frame);
+    });
+    announcer = std::make_unique<Announcer>(*context, *store, *datagrams, std::move(seeds), [this](Announcement &announcement) {
+        describe(announcement);
+    });
+    LinkHandlers incoming;
+    incoming.onFrame = outgoing.onFrame;
+    incoming.onClosed = [this](const LinkPtr &link, const Error &error) {
+        logEvent(Event::LinkLost, {{"peer", link->peer().process}, {"reason", error.text}});
+        stages->peerGone(link);
+        calls->peerGone(link);
+    };
+    links = std::make_unique<LinkServer>(loop, identity, incoming);
+    OperatorViews views;
+    views.state = [this] { return view().dump(); };
+    views.status = views.state;
+    views.refreshMetrics = [this] { refreshMetrics(); };
+    views.metrics = &metrics;
+    views.isReady = [this] { return state() == TargetState::Ready; };
+    operators = std::make_unique<OperatorServer>(loop, settings.operatorKeyDigest, views);
+    return {};
+}
+
+Result<void> Sidecar::Private::listen()
+{
+    BOOST_LEAF_ASSIGN(linkAddress, links->listen({settings.host, static_cast<std::uint16_t>(settings.linkPort)}));
+    BOOST_LEAF_CHECK(datagrams->bind(linkAddress));
+    BOOST_LEAF_ASSIGN(operatorAddress, operators->listen({settings.host, static_cast<std::uint16_t>(settings.operatorPort)}));
+    return {};
+}
+
+// [SECTION] Frames
+
+bool Sidecar::Private::takeFrame(const LinkPtr &link, const Frame &frame)
+{
+    switch (frame.message) {
+    case ConfigurationUpdate::messageId:
+        return takeConfiguration(link, frame);
+    case CallRequest::messageId:
+    case CallBody::messageId:
+    case CallCredit::messageId:
+    case CallCancel::messageId:
+        return isApplication && calls->takeFrame(link, frame);
+    default:
+        return !isApplication && stages->takeFrame(link, frame);
+    }
+}
+
+bool Sidecar::Private::takeConfiguration(const LinkPtr &link, const Frame &frame)
+{
+    ConfigurationUpdate update;
+    if (!decodeFrame(frame, update)) {
+        return false;
+    }
+    Configuration fresh;
+    switch (takeUpdate(configuration, update, fresh)) {
+    case UpdateVerdict::Taken:
+        configuration = std::move(fresh);
+        logEvent(Event::ConfigurationInForce, {{"version", std::to_string(configuration.version.value)}, {"from", link->peer().process}});
+        if (history.isOn()) {
+            history.record("configuration", {{"version", configuration.version.value}});
+        }
+        announcer->announce();
+        break;
+    case UpdateVerdict::NotNewer:
+        logEvent(Event::ConfigurationOlder, {{"version", std::to_string(update.version.value)}, {"from", link->peer().process}});
+        break;
+    case UpdateVerdict::Lacking:
+        link->send(ConfigurationWanted{});
+        break;
+    case UpdateVerdict::Damaged:
+        logEvent(Event::ConfigurationDamaged, {{"version", std::to_string(update.version.value)}, {"from", link->peer().process}});
+        break;
+    }
+    return true;
+}
+
+void Sidecar::Private::takeDatagram(const Frame &frame)
+{
+    EntryAnnouncement entry;
+    if (frame.message == EntryAnnouncement::messageId && decodeFrame(frame, entry)) {
+        announcer->heardEntry(entry);
+    }
+}
+
+// [SECTION] Announcing
+
+void Sidecar::Private::checkTarget()
+{
+    if (!isApplication) {
+        engine->refresh([this, wasHealthy = isTargetHealthy] {
+            isTargetHealthy = engine->report().isHealthy;
+            if (isTargetHealthy != wasHealthy) {
+                announcer->announce();
+            }
+        });
+        return;
+    }
+    HttpClientRequest request;
+    request.timeout = settings.stepTimeout;
+    client.fetch(context->targetAddress, std::move(request), [this, weak = std::weak_ptr(alive)](const HttpResult &result) {
+        if (weak.expired()) {
+            return;
+        }
+        const bool isHealthy = !result.failure;
+        if (isHealthy == isTargetHealthy) {
+            return;
+        }
+        isTargetHealthy = isHealthy;
+        logEvent(isHealthy ? Event::TargetHealthy : Event::TargetUnhealthy, {{"peer", settings.target}});
+        announcer->announce();
+    });
+}
+
+TargetState Sidecar::Private::state() const
+{
+    if (context->isDraining) {
+        return TargetState::Draining;
+    }
+    return isTargetHealthy ? TargetState::Ready : TargetState::Joining;
+}
+
+void Sidecar::Private::describe(Announcement &announcement) const
+{
+    announcement.state = state();
+    announcement.configuration = configuration.version;
+    announcement.streams = static_cast<std::uint32_t>(open());
+    if (isApplication) {
+        announcement.kind = TargetKind::Application;
+        announcement.service.value = settings.service;
+        announcement.stepMicros = calls->callMicros();
+        return;
+    }
+    const EngineReport &report = engine->report();
+    announcement.kind = TargetKind::Engine;
+    announcement.model = report.model;
+    announcement.version = report.version;
+    announcement.adapters = report.adapters;
+    announcement.layerBegin = report.layerBegin;
+    announcement.layerEnd = report.layerEnd;
+    announcement.queued = static_cast<std::uint32_t>(engine->queued());
+    announcement.stepMicros = engine->stepMicros();
+    announcement.kvUsed = report.kvUsed;
+    announcement.kvCapacity = report.kvCapacity;
+}
+
+std::size_t Sidecar::Private::open() const
+{
+    return isApplication ? calls->open() : stages->open();
+}
+
+void Sidecar::Private::checkDrained()
+{
+    const bool isLate = clock.now() - drainStartedAt >= settings.drainTimeout;
+    if (open() > 0 && !isLate) {
+        return;
+    }
+    if (open() > 0) {
+        logEvent(Event::DrainTimeout, {{"open", std::to_string(open())}});
+    }
+    drainTimer.stop();
+    drained();
+}
+
+// [SECTION] Views
+
+json Sidecar::Private::view() const
+{
+    json entries = json::array();
+    for (const Address &entry : announcer->entries()) {
+        entries.push_back(entry.toString());
+    }
+    json result = {{"id", settings.id},
+                   {"role", "sidecar"},
+                   {"version", PARSLEYTRAIL_VERSION},
+                   {"incarnation", incarnation.value},
+                   {"region", settings.region},
+                   {"dataCenter", settings.dataCenter},
+                   {"state", toString(state())},
+                   {"configuration", {{"version", configuration.version.value}, {"digest", configuration.digest}}},
+                   {"target", {{"address", settings.target}, {"isHealthy", isTargetHealthy}, {"checksFencing", settings.checksFencing}}},
+                   {"announcedTo", entries},
+                   {"store", {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}}},
+                   {"datagramsRefused", datagrams->refused()},
+                   {"linksToSidecars", peers->size()}};
+    if (isApplication) {
+        result["service"] = settings.service;
+        result["calls"] = json::parse(calls->dump());
+        return result;
+    }
+    const EngineReport &report = engine->report();
+    result["engine"] = {{"model", report.model.value}, {"version", report.version},       {"adapters", report.adapters}, {"layerBegin", report.layerBegin},
+                        {"layerEnd", report.layerEnd}, {"kvUsed", report.kvUsed},         {"kvCapacity", report.kvCapacity},
+                        {"queued", engine->queued()},  {"stepMicros", engine->stepMicros()}};
+    result["keptBytes"] = stages->keptBytes();
+    result["streams"] = json::parse(stages->dump());
+    return result;
+}
+
+void Sidecar::Private::refreshMetrics()
+{
+    metrics.gauge("parsley_streams_open", "Streams or calls open.") = static_cast<double>(open());
+    metrics.gauge("parsley_kept_activation_bytes", "Bytes of kept activations.") = static_cast<double>(stages->keptBytes());
+    metrics.gauge("parsley_configuration_version", "Configuration version in force.") = static_cast<double>(configuration.version.value);
+}
+
+// [SECTION] Sidecar
+
+Sidecar::Sidecar(EventLoop &loop, const Clock &clock, SidecarSettings settings)
+    : d(std::make_unique<Private>(loop, clock, std::move(settings)))
+{
+}
+
+Sidecar::~Sidecar()
+{
+    // Links first: their handlers use the parts below.
+    d->links.reset();
+    d->peers.reset();
+}
+
+Result<void> Sidecar::start()
+{
+    BOOST_LEAF_CHECK(d->makeParts());
+    BOOST_LEAF_CHECK(d->listen());
+    d->announcer->start(d->linkAddress);
+    d->sweepTimer.startRepeating(sweepInterval);
+    d->healthTimer.startRepeating(d->settings.announceInterval);
+    d->checkTarget();
+    logEvent(Event::ProcessStarted, {{"id", d->settings.id}, {"links", d->linkAddress.toString()}, {"operators", d->operatorAddress.toString()}});
+    return {};
+}
+
+void Sidecar::drain(std::function<void()> finished)
+{
+    if (d->context->isDraining) {
+        return;
+    }
+    logEvent(Event::DrainStarted, {{"open", std::to_string(d->open())}});
+    d->context->isDraining = true;
+    d->drainStartedAt = d->clock.now();
+    d->drained = std::move(finished);
+    d->announcer->announce();
+    d->drainTimer.startRepeating(milliseconds(100));
+}
+
+Address Sidecar::linkAddress() const
+{
+    return d->linkAddress;
+}
+
+Address Sidecar::operatorAddress() const
+{
+    return d->operatorAddress;
+}
+
+History &Sidecar::history()
+{
+    return d->history;
+}
+
+std::size_t Sidecar::open() const
+{
+    return d->open();
+}
+
+std::string Sidecar::state() const
+{
+    return d->view().dump();
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/wire/archive.h
@@ -0,0 +1,235 @@
+// Bounded cereal archives for messages.
+//
+// cereal trusts the sizes it reads: a frame that says "4 billion elements" would make it allocate them. Reader
+// checks every size against the schema's limit and against the bytes that are left before it allocates, so memory
+// stays within a small multiple of the frame.
+#pragma once
+
+#include "base/ids.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <istream>
+#include <ostream>
+#include <streambuf>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Parsleytrail
+{
+
+/// Stream buffer that appends to a string.
+class StringOutput final : public std::streambuf
+{
+public:
+    explicit StringOutput(std::string &out)
+        : m_out(out)
+    {
+    }
+
+protected:
+    std::streamsize xsputn(const char *bytes, std::streamsize size) override
+    {
+        m_out.append(bytes, static_cast<std::size_t>(size));
+        return size;
+    }
+    int_type overflow(int_type c) override
+    {
+        m_out.push_back(static_cast<char>(c));
+        return c;
+    }
+
+private:
+    std::string &m_out;
+};
+
+/// Stream buffer over bytes that it does not own.
+class StringInput final : public std::streambuf
+{
+public:
+    explicit StringInput(std::string_view bytes)
+    {
+        char *begin = const_cast<char *>(bytes.data());
+        setg(begin, begin, begin + bytes.size());
+    }
+    std::size_t left() const
+    {
+        return static_cast<std::size_t>(egptr() - gptr());
+    }
+};
+
+/// Writes values of messages.
+class Writer
+{
+public:
+    explicit Writer(std::string &out)
+        : m_buffer(out)
+        , m_stream(&m_buffer)
+        , m_archive(m_stream)
+    {
+    }
+
+    template<typename Rep>
+    void value(Rep number)
+        requires std::is_arithmetic_v<Rep>
+    {
+        m_archive(number);
+    }
+    void value(const std::string &text)
+    {
+        m_archive(static_cast<std::uint32_t>(text.size()));
+        m_archive(cereal::binary_data(text.data(), text.size()));
+    }
+    template<typename Tag>
+    void value(const Name<Tag> &name)
+    {
+        value(name.value);
+    }
+    template<typename Tag, typename Rep>
+    void value(const Number<Tag, Rep> &number)
+    {
+        value(number.value);
+    }
+    template<typename Enum>
+    void enumeration(Enum item)
+    {
+        value(static_cast<std::uint8_t>(item));
+    }
+    template<typename Rep>
+    void numbers(const std::vector<Rep> &items)
+    {
+        m_archive(static_cast<std::uint32_t>(items.size()));
+        m_archive(cereal::binary_data(items.data(), items.size() * sizeof(Rep)));
+    }
+    void list(const std::vector<std::string> &items)
+    {
+        m_archive(static_cast<std::uint32_t>(items.size()));
+        for (const std::string &item : items) {
+            value(item);
+        }
+    }
+    template<typename Item>
+    void list(const std::vector<Item> &items)
+    {
+        m_archive(static_cast<std::uint32_t>(items.size()));
+        for (const Item &item : items) {
+            writeStruct(*this, item);
+        }
+    }
+
+private:
+    StringOutput m_buffer;
+    std::ostream m_stream;
+    cereal::PortableBinaryOutputArchive m_archive;
+};
+
+constexpr std::size_t maxNameBytes = 256;       ///< ids and names in messages
+constexpr std::size_t maxListItemBytes = 1024; ///< strings in lists
+
+/// Reads values of messages; throws cereal::Exception on anything malformed or over a limit.
+class Reader
+{
+public:
+    explicit Reader(std::string_view bytes)
+        : m_buffer(bytes)
+        , m_stream(&m_buffer)
+        , m_archive(m_stream)
+    {
+    }
+
+    template<typename Rep>
+    void value(Rep &number)
+        requires(std::is_arithmetic_v<Rep> && !std::is_same_v<Rep, bool>)
+    {
+        m_archive(number);
+    }
+    void value(bool &flag)
+    {
+        // A bool with another bit pattern than 0 or 1 would be undefined behaviour later.
+        std::uint8_t raw = 0;
+        m_archive(raw);
+        require(raw <= 1);
+        flag = raw == 1;
+    }
+    void value(std::string &text, std::size_t limit)
+    {
+        text.resize(size(limit, 1));
+        m_archive(cereal::binary_data(text.data(), text.size()));
+    }
+    template<typename Tag>
+    void value(Name<Tag> &name)
+    {
+        value(name.value, maxNameBytes);
+    }
+    template<typename Tag, typename Rep>
+    void value(Number<Tag, Rep> &number)
+    {
+        m_archive(number.value);
+    }
+    template<typename Enum>
+    void enumeration(Enum &item, Enum last)
+    {
+        std::uint8_t raw = 0;
+        m_archive(raw);
+        require(raw <= static_cast<std::uint8_t>(last));
+        item = static_cast<Enum>(raw);
+    }
+    template<typename Rep>
+    void numbers(std::vector<Rep> &items, std::size_t limit)
+    {
+        items.resize(size(limit, sizeof(Rep)));
+        m_archive(cereal::binary_data(items.data(), items.size() * sizeof(Rep)));
+    }
+    void list(std::vector<std::string> &items, std::size_t limit)
+    {
+        items.resize(size(limit, sizeof(std::uint32_t)));
+        for (std::string &item : items) {
+            value(item, maxListItemBytes);
+        }
+    }
+    template<typename Item>
+    void list(std::vector<Item> &items, std::size_t limit)
+    {
+        // Every struct of the schema takes eight bytes or more.
+        items.resize(size(limit, 2 * sizeof(std::uint32_t)));
+        for (Item &item : items) {
+            readStruct(*this, item);
+        }
+    }
+
+private:
+    /// Reads a size; refuses one over the limit or over what the bytes left can hold.
+    std::size_t size(std::size_t limit, std::size_t smallestItem)
+    {
+        std::uint32_t count = 0;
+        m_archive(count);
+        require(count <= limit && count <= m_buffer.left() / smallestItem);
+        return count;
+    }
+    static void require(bool condition)
+    {
+        if (!condition) {
+            throw cereal::Exception("message over a limit");
+        }
+    }
+
+    StringInput m_buffer;
+    std::istream m_stream;
+    cereal::PortableBinaryInputArchive m_archive;
+};
+
+/// Runs `read`; false if the bytes were malformed.
+template<typename Read>
+bool decodeGuarded(std::string_view bytes, Read &&read)
+{
+    try {
+        Reader reader(bytes);
+        read(reader);
+        return true;
+    } catch (const cereal::Exception &) {
+        return false;
+    }
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/wire/datagrams.cpp
@@ -0,0 +1,97 @@
+#include "wire/datagrams.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace Parsleytrail
+{
+
+struct Datagrams::Private {
+    EventLoop &loop;
+    std::uint16_t wireVersion;
+    Handler handler;
+    int socket = -1;
+    event *readable = nullptr;
+    std::uint64_t refused = 0;
+
+    void readAll()
+    {
+        std::array<unsigned char, frameHeaderBytes + maxDatagramBytes> buffer;
+        while (true) {
+            const ssize_t size = recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (size < 0) {
+                return;
+            }
+            take(buffer.data(), static_cast<std::size_t>(size));
+        }
+    }
+
+    void take(const unsigned char *bytes, std::size_t size)
+    {
+        FrameHeader header;
+        const bool isWhole = size >= frameHeaderBytes && readHeader(bytes, maxDatagramBytes, header) && size == frameHeaderBytes + header.bytes;
+        if (!isWhole) {
+            ++refused;
+            return;
+        }
+        const auto *payload = reinterpret_cast<const char *>(bytes + frameHeaderBytes);
+        handler({std::min(header.version, wireVersion), header.message, {payload, header.bytes}});
+    }
+};
+
+Datagrams::Datagrams(EventLoop &loop, std::uint16_t wireVersion, Handler handler)
+    : d(new Private{loop, wireVersion, std::move(handler)})
+    , m_wireVersion(wireVersion)
+{
+}
+
+Datagrams::~Datagrams()
+{
+    if (d->readable) {
+        event_free(d->readable);
+    }
+    if (d->socket >= 0) {
+        close(d->socket);
+    }
+}
+
+Result<void> Datagrams::bind(const Address &address)
+{
+    d->socket = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in wanted{};
+    wanted.sin_family = AF_INET;
+    wanted.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &wanted.sin_addr);
+    if (d->socket < 0 || ::bind(d->socket, reinterpret_cast<const sockaddr *>(&wanted), sizeof wanted) != 0) {
+        return fail("bind datagrams", address.toString(), std::strerror(errno));
+    }
+    const auto onReadable = [](evutil_socket_t, short, void *arg) {
+        static_cast<Private *>(arg)->readAll();
+    };
+    d->readable = event_new(d->loop.base(), d->socket, EV_READ | EV_PERSIST, onReadable, d.get());
+    event_add(d->readable, nullptr);
+    return {};
+}
+
+void Datagrams::sendBuffer(const Address &to)
+{
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &target.sin_addr);
+    sendto(d->socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+}
+
+std::uint64_t Datagrams::refused() const
+{
+    return d->refused;
+}
+
+} // namespace Parsleytrail
--- /dev/null
+++ b/src/wire/datagrams.h
@@ -0,0 +1,46 @@
+// UDP: announcements between processes of the system, one frame a datagram. They may be lost, doubled or reordered.
+#pragma once
+
+#include "base/address.h"
+#include "wire/event_loop.h"
+#include "wire/frame.h"
+
+#include <functional>
+#include <memory>
+
+namespace Parsleytrail
+{
+
+/// A bound UDP socket.
+class Datagrams
+{
+public:
+    using Handler = std::function<void(const Frame &)>;
+
+    /// `wireVersion` is the newest version written and read. Malformed datagrams are counted and dropped.
+    Datagrams(EventLoop &loop, std::uint16_t wireVersion, Handler handler);
+    ~Datagrams();
+
+    /// Binds. Fails with the step "bind datagrams".
+    Result<void> bind(const Address &address);
+    /// Sends; a datagram that can't be sent at once is lost.
+    template<typename Message>
+    void send(const Address &to, const Message &message)
+    {
+        m_buffer.clear();
+        appendFrame(message, m_wireVersion, m_buffer);
+        sendBuffer(to);
+    }
+    /// Datagrams dropped because their header was wrong.
+    std::uint64_t refused() const;
+
+private:
+    void sendBuffer(const Address &to);
+
+    struct Private;
+    std::unique_ptr<Private> d;
+    std::uint16_t m_wireVersion;
+    std::string m_buffer;
+};
+
+} // namespace Parsleytrail
