Replace failed stages mid-answer; a load tool that checks every answer

Cause: a target whose link broke still got new requests until silence-timeout (2 s); a question without any holder of a range took 11.6 s to be refused, and was then called unknown. Change: a broken link makes the target unusable until its next announcement; a stream without a token waits at most 1 s for a chain. Tests for engine death, hang, sidecar death, restart, entry death and hang-ups.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -1,4 +1,288 @@
-int main()
+// parsley-load: open- and closed-loop load on entries, with answers checked against the reference.
+//
+// Prints one "name value unit" line for each figure.
+#include "base/digest.h"
+#include "base/metrics.h"
+#include "base/text.h"
+#include "http/client.h"
+#include "stand-ins/process.h"
+#include "stand-ins/token_function.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <nlohmann/json.hpp>
+
+#include <iomanip>
+#include <iostream>
+#include <random>
+
+ABSL_FLAG(std::vector<std::string>, entries, {}, "callers' ports, host:port");
+ABSL_FLAG(std::string, key, "studio-demo-key", "workspace's key");
+ABSL_FLAG(std::string, service, "chat", "pipeline service");
+ABSL_FLAG(std::string, model, "assistant", "model, for the reference answer");
+ABSL_FLAG(std::string, model_version, "v1", "version, for the reference answer");
+ABSL_FLAG(std::string, adapter, "clay", "adapter, for the reference answer");
+ABSL_FLAG(uint32_t, layers, 32, "layers, for the reference answer");
+ABSL_FLAG(uint32_t, streams, 0, "closed loop: streams open at once; 0: open loop");
+ABSL_FLAG(uint32_t, requests, 0, "closed loop: requests in all; 0: until the time is over");
+ABSL_FLAG(double, rate, 10, "open loop: requests a second");
+ABSL_FLAG(double, seconds, 10, "open loop: length of the run");
+ABSL_FLAG(uint32_t, prompt_words, 40, "median words in a prompt");
+ABSL_FLAG(uint32_t, max_tokens, 32, "tokens asked for");
+ABSL_FLAG(uint64_t, seed, 1, "seed of prompts and arrivals");
+ABSL_FLAG(std::string, label, "", "put before each name");
+
+using namespace Parsleytrail;
+using nlohmann::json;
+
+static constexpr const char *helpText = R"(parsley-load: load on entries, with every answer checked.
+
+Usage: parsley-load --entries=HOST:PORT,... [--streams=N --requests=N | --rate=R --seconds=S] [--prompt_words=N]
+                    [--max_tokens=N] [--seed=N] [--label=TEXT]
+
+Closed loop (--streams): keeps N streams open until --requests are answered.
+Open loop (--rate): sends at random times, whether or not answers come, for --seconds.
+
+Prints "name value unit" lines: answers by outcome, wrong answers, time to first token, time between tokens, tokens a
+second. Exit: 0 if no answer was wrong, 1 otherwise.
+
+Example: parsley-load --entries=127.0.0.1:18001,127.0.0.1:18004 --streams=200 --requests=1000
+)";
+
+namespace
 {
-    return 0;
+
+/// Results of a run.
+struct Totals {
+    std::uint64_t sent = 0;      ///< requests
+    std::uint64_t answered = 0;  ///< whole and right
+    std::uint64_t wrong = 0;     ///< whole, and not the reference answer
+    std::uint64_t cut = 0;       ///< ended without [DONE]
+    std::uint64_t refused = 0;   ///< another status than 200
+    std::uint64_t tokens = 0;    ///< events with text
+    TimeHistogram firstToken;
+    TimeHistogram betweenTokens;
+    TimeHistogram whole;
+};
+
+/// One request on its way.
+struct Question {
+    std::string prompt;                             ///< content of the only message
+    std::string rest;                               ///< bytes not read yet
+    std::string text;                               ///< answer so far
+    int status = 0;                                 ///< of the answer
+    bool hasDone = false;                           ///< [DONE] came
+    std::chrono::steady_clock::time_point sentAt{}; ///< request sent
+    std::chrono::steady_clock::time_point lastAt{}; ///< last token
+    std::uint32_t tokens = 0;                       ///< events with text
+};
+
+double secondsSince(std::chrono::steady_clock::time_point from)
+{
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count();
+}
+
+/// Makes the load.
+class Load
+{
+public:
+    Load(EventLoop &loop, std::vector<Address> entries)
+        : m_loop(loop)
+        , m_client(loop)
+        , m_entries(std::move(entries))
+        , m_random(absl::GetFlag(FLAGS_seed))
+        , m_arrival(loop, [this] { arrive(); })
+    {
+    }
+
+    void run();
+    int report() const;
+
+private:
+    std::string makePrompt();
+    void send();
+    void arrive();
+    void take(Question &question, std::string_view bytes);
+    void finish(Question &question);
+
+    EventLoop &m_loop;
+    HttpClient m_client;
+    std::vector<Address> m_entries;
+    std::mt19937_64 m_random;
+    Timer m_arrival;
+    Totals m_totals;
+    std::uint64_t m_open = 0;
+    std::chrono::steady_clock::time_point m_startedAt{};
+    double m_seconds = 0;
+};
+
+/// Words from a small vocabulary, with a long-tailed length; every fourth prompt starts with a shared prefix.
+std::string Load::makePrompt()
+{
+    std::lognormal_distribution<double> lengths(std::log(absl::GetFlag(FLAGS_prompt_words)), 0.6);
+    std::uniform_int_distribution<int> word(0, 9999);
+    const auto count = static_cast<std::uint32_t>(std::clamp(lengths(m_random), 1.0, 4000.0));
+    std::string prompt = word(m_random) % 4 == 0 ? "You answer questions about clay and wheels." : "";
+    for (std::uint32_t i = 0; i < count; ++i) {
+        prompt += " w" + std::to_string(word(m_random));
+    }
+    return prompt;
+}
+
+void Load::take(Question &question, std::string_view bytes)
+{
+    question.rest.append(bytes);
+    std::size_t end = 0;
+    while ((end = question.rest.find("\n\n")) != std::string::npos) {
+        const std::string event = question.rest.substr(0, end);
+        question.rest.erase(0, end + 2);
+        if (event == "data: [DONE]") {
+            question.hasDone = true;
+            continue;
+        }
+        const json data = json::parse(event.substr(std::min<std::size_t>(event.size(), 6)), nullptr, false);
+        if (!data.is_object() || !data.contains("choices") || data["choices"].empty()) {
+            continue;
+        }
+        const std::string content = data["choices"][0]["delta"].value("content", "");
+        if (content.empty()) {
+            continue;
+        }
+        (question.tokens == 0 ? m_totals.firstToken : m_totals.betweenTokens).record(secondsSince(question.tokens == 0 ? question.sentAt : question.lastAt));
+        question.lastAt = std::chrono::steady_clock::now();
+        question.text += content;
+        ++question.tokens;
+    }
+}
+
+void Load::finish(Question &question)
+{
+    --m_open;
+    m_totals.tokens += question.tokens;
+    if (question.status != 200) {
+        ++m_totals.refused;
+    } else if (!question.hasDone) {
+        ++m_totals.cut;
+    } else {
+        const StandIn::Weights weights{absl::GetFlag(FLAGS_model), absl::GetFlag(FLAGS_model_version), absl::GetFlag(FLAGS_adapter)};
+        const auto reference = StandIn::referenceAnswer("user: " + question.prompt + "\n", weights, absl::GetFlag(FLAGS_layers), absl::GetFlag(FLAGS_max_tokens));
+        ++(reference.text == question.text ? m_totals.answered : m_totals.wrong);
+        m_totals.whole.record(secondsSince(question.sentAt));
+    }
+    const bool isClosedLoop = absl::GetFlag(FLAGS_streams) > 0;
+    const bool isMoreWanted = absl::GetFlag(FLAGS_requests) > 0 ? m_totals.sent < absl::GetFlag(FLAGS_requests) : secondsSince(m_startedAt) < absl::GetFlag(FLAGS_seconds);
+    if (isClosedLoop && isMoreWanted) {
+        send();
+    }
+}
+
+void Load::send()
+{
+    const auto question = std::make_shared<Question>();
+    question->prompt = makePrompt();
+    const json body = {{"model", absl::GetFlag(FLAGS_service)},
+                       {"stream", true},
+                       {"max_tokens", absl::GetFlag(FLAGS_max_tokens)},
+                       {"messages", {{{"role", "user"}, {"content", question->prompt}}}}};
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"Authorization", "Bearer " + absl::GetFlag(FLAGS_key)}, {"Content-Type", "application/json"}};
+    request.body = body.dump();
+    request.timeout = milliseconds(120000);
+    request.maxBodyBytes = SIZE_MAX;
+    question->sentAt = std::chrono::steady_clock::now();
+    HttpStreamHandlers handlers;
+    handlers.onHead = [question](int status, const HttpHeaders &) {
+        question->status = status;
+    };
+    handlers.onData = [this, question](std::string_view bytes) {
+        take(*question, bytes);
+    };
+    handlers.onDone = [this, question](const std::optional<HttpFailure> &) {
+        finish(*question);
+    };
+    const Address &entry = m_entries[m_totals.sent % m_entries.size()];
+    ++m_totals.sent;
+    ++m_open;
+    m_client.stream(entry, std::move(request), std::move(handlers));
+}
+
+void Load::arrive()
+{
+    send();
+    if (secondsSince(m_startedAt) < absl::GetFlag(FLAGS_seconds)) {
+        std::exponential_distribution<double> gaps(absl::GetFlag(FLAGS_rate));
+        m_arrival.start(microseconds(static_cast<std::int64_t>(gaps(m_random) * 1e6)));
+    }
+}
+
+void Load::run()
+{
+    m_startedAt = std::chrono::steady_clock::now();
+    const std::uint32_t streams = absl::GetFlag(FLAGS_streams);
+    if (streams > 0) {
+        for (std::uint32_t i = 0; i < streams; ++i) {
+            send();
+        }
+    } else {
+        arrive();
+    }
+    const auto isOver = [&] {
+        return m_open == 0 && (streams > 0 || !m_arrival.isRunning());
+    };
+    m_loop.runUntil(isOver, milliseconds(600000));
+    m_seconds = secondsSince(m_startedAt);
+}
+
+int Load::report() const
+{
+    const std::string label = absl::GetFlag(FLAGS_label).empty() ? "" : absl::GetFlag(FLAGS_label) + ".";
+    const auto line = [&label](const std::string &name, double value, const char *unit) {
+        std::cout << label << name << ' ' << std::setprecision(6) << value << ' ' << unit << '\n';
+    };
+    const auto quantiles = [&line](const std::string &name, const TimeHistogram &histogram) {
+        line(name + "_p50", histogram.quantile(0.5) * 1000, "ms");
+        line(name + "_p95", histogram.quantile(0.95) * 1000, "ms");
+        line(name + "_p99", histogram.quantile(0.99) * 1000, "ms");
+    };
+    line("sent", static_cast<double>(m_totals.sent), "requests");
+    line("answered", static_cast<double>(m_totals.answered), "requests");
+    line("wrong", static_cast<double>(m_totals.wrong), "requests");
+    line("cut", static_cast<double>(m_totals.cut), "requests");
+    line("refused", static_cast<double>(m_totals.refused), "requests");
+    line("unfinished", static_cast<double>(m_open), "requests");
+    line("answered_per_second", static_cast<double>(m_totals.answered) / m_seconds, "requests/s");
+    line("tokens_per_second", static_cast<double>(m_totals.tokens) / m_seconds, "tokens/s");
+    quantiles("first_token", m_totals.firstToken);
+    quantiles("between_tokens", m_totals.betweenTokens);
+    quantiles("whole_answer", m_totals.whole);
+    return m_totals.wrong == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (StandIn::printHelp(argc, argv, helpText)) {
+        return 0;
+    }
+    absl::ParseCommandLine(argc, argv);
+    std::vector<Address> entries;
+    Error error;
+    const auto parse = [&]() -> Result<void> {
+        for (const std::string &text : absl::GetFlag(FLAGS_entries)) {
+            BOOST_LEAF_AUTO(address, parseAddress(text));
+            entries.push_back(address);
+        }
+        return {};
+    };
+    if (!runCatching(parse, error) || entries.empty()) {
+        std::cerr << "--entries: expected HOST:PORT,... " << error.toString() << '\n';
+        return 2;
+    }
+    EventLoop loop;
+    Load load(loop, entries);
+    load.run();
+    return load.report();
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -101,6 +101,7 @@
     };
     handlers.onClosed = [this](const LinkPtr &link, const Error &error) {
         logEvent(Event::LinkLost, {{"peer", link->peerName()}, {"process", link->peer().process}, {"reason", error.text}});
+        targets->linkGone(link->peerName());
         streams->linkGone(link->peerName(), error);
         calls->linkGone(link->peerName(), error);
     };
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -521,7 +521,7 @@
             d->fail(*stream, {"answer in time", "", "the deadline passed"}, true);
         } else if (stream->waitingSince == TimePoint{}) {
             d->checkProgress(*stream, now);
-        } else if (now - stream->waitingSince >= (stream->attempt == Attempt{} ? longestWaitToBegin : longestWaitForTarget)) {
+        } else if (now - stream->waitingSince >= (stream->emitted.empty() ? longestWaitToBegin : longestWaitForTarget)) {
             d->fail(*stream, {"choose chain", "", "no targets hold all layers of the model"}, false);
         }
     }
--- a/src/entry/streams.h
+++ b/src/entry/streams.h
@@ -71,7 +71,7 @@
 };
 
 constexpr std::uint32_t maxAttempts = 16;           ///< of one stream
-constexpr milliseconds longestWaitToBegin{1000};    ///< a new stream that finds no chain for this long is refused as not run
-constexpr milliseconds longestWaitForTarget{10000}; ///< a begun stream that finds no chain for this long fails
+constexpr milliseconds longestWaitToBegin{1000};    ///< a stream without a token that finds no chain for this long fails
+constexpr milliseconds longestWaitForTarget{10000}; ///< a stream that the caller has part of fails after this long without a chain
 
 } // namespace Parsleytrail
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -126,6 +126,16 @@
     }
 }
 
+void Targets::linkGone(const std::string &address)
+{
+    for (auto &[id, target] : d->targets) {
+        if (addressOf(target.view.last).toString() == address) {
+            // Without this, new requests would go to a dead sidecar until silence-timeout had passed.
+            target.view.isSilent = true;
+        }
+    }
+}
+
 void Targets::tick()
 {
     const TimePoint now = d->context.clock.now();
--- a/src/entry/targets.h
+++ b/src/entry/targets.h
@@ -26,6 +26,8 @@
     void take(const Announcement &announcement, ConfigurationVersion inForce);
     /// Marks targets as leaving that the platform's list shows as leaving.
     void markLeaving(const std::vector<TargetId> &leaving);
+    /// The link to an address broke: its target gets no new work until it announces itself again.
+    void linkGone(const std::string &address);
     /// Finds silent targets, forgets those long gone. Called every few tens of milliseconds.
     void tick();
 
--- /dev/null
+++ b/tests/recovery_test.cpp
@@ -0,0 +1,218 @@
+// Stages that fail while an answer is on its way. Whatever fails, the caller's answer is the reference answer.
+//
+// Each test kills something at a fixed number of tokens; what happens in which order is told at each.
+#include "tests/cluster.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Parsleytrail;
+using namespace Parsleytrail::Test;
+
+namespace
+{
+
+constexpr std::uint32_t answerTokens = 40;
+const std::string question = "how do I rinse a drum";
+
+/// Engines slow enough that an answer is still on its way when the test acts.
+ClusterOptions slowEngines()
+{
+    ClusterOptions options;
+    options.tuneEngine = [](StandIn::EngineOptions &engine) {
+        engine.stepFixed = microseconds(3000);
+    };
+    options.tuneEntry = [](EntrySettings &entry) {
+        entry.progressTimeout = milliseconds(300);
+        entry.silenceTimeout = milliseconds(1000);
+    };
+    return options;
+}
+
+/// Asks, waits until some tokens are out, and returns the engine that carries `stage`.
+std::size_t askAndFind(Cluster &cluster, AnswerPtr &answer, std::size_t stage, std::uint32_t afterTokens = 10)
+{
+    answer = cluster.ask(question, answerTokens);
+    cluster.wait("the first tokens", [&] { return answer->events >= afterTokens || answer->isOver; });
+    BOOST_REQUIRE(!answer->isOver);
+    const std::size_t engine = cluster.engineOfStage(stage);
+    BOOST_REQUIRE(engine < cluster.engines.size());
+    return engine;
+}
+
+void checkAnswer(Cluster &cluster, const AnswerPtr &answer)
+{
+    cluster.wait("the end of the answer", [&] { return answer->isOver; });
+    BOOST_TEST(answer->hasDone);
+    BOOST_TEST(answer->text == cluster.expected(question, answerTokens));
+}
+
+/// Positions that an engine applied for any stream.
+std::uint64_t applied(const Cluster &cluster, std::size_t engine)
+{
+    return cluster.engines[engine]->positionsApplied();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(recovery)
+
+BOOST_DATA_TEST_CASE(engine_dies, boost::unit_test::data::xrange(3), stage)
+{
+    // The caller sees one whole answer. The engine of one stage dies after ten tokens; its sidecar sees the connection
+    // break and tells the entry, which puts the other holder of the range in its place. The stage before it sends its
+    // kept results again, so that only the failed range is computed a second time.
+    Cluster cluster(slowEngines());
+    AnswerPtr answer;
+    const std::size_t engine = askAndFind(cluster, answer, static_cast<std::size_t>(stage));
+    std::vector<std::size_t> survivors;
+    for (std::size_t other = 0; other < 3; ++other) {
+        if (other != static_cast<std::size_t>(stage)) {
+            survivors.push_back(cluster.engineOfStage(other));
+        }
+    }
+    cluster.engines[engine]->die();
+    checkAnswer(cluster, answer);
+    const std::uint64_t positions = 7 + 1 + answerTokens - 1; // prompt of 8 tokens; the last token is not applied
+    for (const std::size_t survivor : survivors) {
+        BOOST_TEST(applied(cluster, survivor) == positions);
+    }
+}
+
+BOOST_DATA_TEST_CASE(engine_hangs, boost::unit_test::data::xrange(3), stage)
+{
+    // The engine of one stage takes steps and never answers: no connection breaks. The entry sees no token for
+    // progress-timeout, asks all stages how far they are, and blames the one with inputs that it has not applied.
+    Cluster cluster(slowEngines());
+    AnswerPtr answer;
+    const std::size_t engine = askAndFind(cluster, answer, static_cast<std::size_t>(stage));
+    cluster.engines[engine]->setHanging(true);
+    checkAnswer(cluster, answer);
+}
+
+BOOST_DATA_TEST_CASE(sidecar_dies, boost::unit_test::data::xrange(3), stage)
+{
+    // The sidecar of one stage is killed: the entry and its neighbours see their links break.
+    Cluster cluster(slowEngines());
+    AnswerPtr answer;
+    const std::size_t engine = askAndFind(cluster, answer, static_cast<std::size_t>(stage));
+    cluster.killSidecar(engine);
+    checkAnswer(cluster, answer);
+}
+
+BOOST_AUTO_TEST_CASE(two_stages_die_one_after_the_other)
+{
+    // A second stage dies while the first is being replaced: the new attempt is given up for a newer one, and frames of
+    // the older one that still arrive are dropped.
+    Cluster cluster(slowEngines());
+    AnswerPtr answer;
+    const std::size_t first = askAndFind(cluster, answer, 0);
+    const std::size_t last = cluster.engineOfStage(2);
+    cluster.engines[first]->die();
+    cluster.idle(milliseconds(2));
+    cluster.engines[last]->die();
+    checkAnswer(cluster, answer);
+}
+
+BOOST_AUTO_TEST_CASE(the_only_holder_restarts)
+{
+    // Each range has one holder. Its sidecar is killed and another one starts in its place a moment later, with a new
+    // incarnation. Meanwhile the stream has no chain; the caller waits, and then gets the rest of its answer.
+    ClusterOptions options = slowEngines();
+    options.holders = 1;
+    Cluster cluster(options);
+    AnswerPtr answer;
+    const std::size_t engine = askAndFind(cluster, answer, 1);
+    cluster.killSidecar(engine);
+    cluster.idle(milliseconds(200));
+    cluster.startSidecar(engine);
+    checkAnswer(cluster, answer);
+}
+
+BOOST_AUTO_TEST_CASE(kept_activations_were_dropped)
+{
+    // Sidecars may keep no activations at all. When the last stage is replaced, the stage before it can't send its
+    // results again; it is replaced too, and so on to the first, which runs from the prompt. The answer is the same.
+    ClusterOptions options = slowEngines();
+    options.tuneSidecar = [](SidecarSettings &sidecar) {
+        sidecar.keptActivationBytes = 0;
+    };
+    Cluster cluster(options);
+    AnswerPtr answer;
+    const std::size_t engine = askAndFind(cluster, answer, 2);
+    cluster.engines[engine]->die();
+    checkAnswer(cluster, answer);
+}
+
+BOOST_AUTO_TEST_CASE(entry_dies)
+{
+    // The caller's connection breaks and no [DONE] comes, so that it can't take the part for the whole. Sidecars see
+    // the entry's link close and free the stream, also at their engines.
+    ClusterOptions options = slowEngines();
+    options.tuneSidecar = [](SidecarSettings &sidecar) {
+        sidecar.orphanTimeout = milliseconds(300);
+    };
+    Cluster cluster(options);
+    AnswerPtr answer;
+    askAndFind(cluster, answer, 0);
+    cluster.killEntry(0);
+    cluster.wait("the caller's connection to break", [&] { return answer->isOver; });
+    BOOST_TEST(!answer->hasDone);
+    cluster.wait("sidecars and engines to be free", [&] {
+        const bool engines = std::all_of(cluster.engines.begin(), cluster.engines.end(), [](const auto &engine) { return engine->openStreams() == 0; });
+        const bool sidecars = std::all_of(cluster.sidecars.begin(), cluster.sidecars.end(), [](const auto &sidecar) { return sidecar->open() == 0; });
+        return engines && sidecars;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(caller_hangs_up)
+{
+    // The caller closes its connection in the middle of an answer. The entry tells the stages, and the engines stop
+    // long before the answer would have ended.
+    Cluster cluster(slowEngines());
+    const AnswerPtr answer = cluster.ask(question, 4000);
+    cluster.wait("the first tokens", [&] { return answer->events >= 3; });
+    answer->call->cancel();
+    cluster.wait("entry, sidecars and engines to be free", [&] {
+        const bool engines = std::all_of(cluster.engines.begin(), cluster.engines.end(), [](const auto &engine) { return engine->openStreams() == 0; });
+        return engines && cluster.entries[0]->open() == 0;
+    });
+    BOOST_TEST(answer->events < 100u);
+}
+
+BOOST_AUTO_TEST_CASE(caller_of_a_whole_answer_hangs_up)
+{
+    // Nothing is written to the caller before the end, so that only the reading side can tell that it has gone.
+    Cluster cluster(slowEngines());
+    const nlohmann::json body = {{"model", "chat"}, {"max_tokens", 4000}, {"messages", {{{"role", "user"}, {"content", question}}}}};
+    HttpStreamHandlers handlers;
+    const HttpCallPtr call = cluster.client.stream(cluster.entries[0]->callerAddress(), post("/v1/chat/completions", body.dump()), std::move(handlers));
+    cluster.wait("the stream to run", [&] { return cluster.entries[0]->open() == 1 && cluster.engines[0]->positionsApplied() + cluster.engines[1]->positionsApplied() > 10; });
+    call->cancel();
+    cluster.wait("the entry to notice", [&] { return cluster.entries[0]->open() == 0; });
+}
+
+BOOST_AUTO_TEST_CASE(no_holder_of_a_range_at_all)
+{
+    // Both holders of the middle range are gone before the question comes. The entry saw their links break, opens no
+    // stage, and after a short wait for a holder to come back tells the caller that nothing was run.
+    Cluster cluster;
+    cluster.killSidecar(2);
+    cluster.killSidecar(3);
+    cluster.wait("the entry to see it", [&] {
+        const nlohmann::json status = nlohmann::json::parse(cluster.entries[0]->status());
+        return status["coverage"]["assistant@v1"]["10-22"] == 0;
+    });
+    const AnswerPtr answer = cluster.ask(question, 5);
+    cluster.wait("the refusal", [&] { return answer->isOver; });
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST(findHeader(answer->headers, "parsley-outcome") == "not-run");
+    BOOST_TEST(!findHeader(answer->headers, "Retry-After").empty());
+    for (const auto &engine : cluster.engines) {
+        BOOST_TEST(engine->positionsApplied() == 0u);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
