--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -74,9 +74,8 @@
 /// Version in an If-Match header; nothing if there is none. Returns false if it is malformed.
 static bool readIfMatch(const HttpRequest &request, std::optional<ConfigurationVersion> &version)
 {
-    std::string_view field = findHeader(request.headers, "If-Match");
-    const std::string copy(field);
-    field = copy;
+    const std::string header = findHeader(request.headers, "If-Match");
+    std::string_view field = header;
     if (field.empty() || field == "*") {
         return true;
     }
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -131,6 +131,12 @@
 
 void Cluster::startEntry(std::size_t index)
 {
+    m_entrySettings[index].entries.clear();
+    for (std::size_t other = 0; other < entries.size(); ++other) {
+        if (other != index && entries[other]) {
+            m_entrySettings[index].entries.push_back(entries[other]->peerAddress().toString());
+        }
+    }
     entries[index] = std::make_unique<Entry>(loop, clock, m_entrySettings[index]);
     BOOST_REQUIRE(entries[index]->start());
     entries[index]->history().setSink([this](const std::string &line) {
--- /dev/null
+++ b/tests/drain_test.cpp
@@ -0,0 +1,183 @@
+// Leaving and joining: a graceful stop cuts nothing off, and a target that leaves gets no new work.
+#include "tests/cluster.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Parsleytrail;
+using namespace Parsleytrail::Test;
+using nlohmann::json;
+
+namespace
+{
+
+ClusterOptions slowEngines()
+{
+    ClusterOptions options;
+    options.tuneEngine = [](StandIn::EngineOptions &engine) {
+        engine.stepFixed = microseconds(3000);
+    };
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(drain)
+
+BOOST_AUTO_TEST_CASE(an_entry_stops)
+{
+    // SIGTERM reaches an entry in the middle of an answer: not ready at once, new requests refused as not run, the open
+    // answer complete, and only then does it end.
+    Cluster cluster(slowEngines());
+    const AnswerPtr answer = cluster.ask("drums", 40);
+    cluster.wait("the first tokens", [&] {
+        return answer->events >= 5;
+    });
+    bool isFinished = false;
+    cluster.entries[0]->drain([&] {
+        isFinished = true;
+    });
+    BOOST_TEST(!cluster.entries[0]->isReady());
+    const HttpResult refused = cluster.send(post("/v1/chat/completions", "{}"));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(findHeader(refused.headers, "parsley-outcome") == "not-run");
+    BOOST_TEST(!isFinished);
+    cluster.wait("the answer", [&] {
+        return answer->isOver;
+    });
+    BOOST_TEST(answer->hasDone);
+    BOOST_TEST(answer->text == cluster.expected("drums", 40));
+    cluster.wait("the entry to end", [&] {
+        return isFinished;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_sidecar_stops)
+{
+    // SIGTERM reaches the sidecar of a stage in the middle of an answer. The stream runs on there to its end; new streams
+    // go elsewhere as soon as the entry has heard of it.
+    Cluster cluster(slowEngines());
+    const AnswerPtr answer = cluster.ask("drums", 40);
+    cluster.wait("the first tokens", [&] {
+        return answer->events >= 5;
+    });
+    const std::size_t leaving = cluster.engineOfStage(1);
+    bool isFinished = false;
+    cluster.sidecars[leaving]->drain([&] {
+        isFinished = true;
+    });
+    cluster.wait("the entry to hear of it", [&] {
+        return json::parse(cluster.entries[0]->status())["coverage"]["assistant@v1"]["10-22"] == 1;
+    });
+    const std::uint64_t before = cluster.engines[leaving]->openStreams();
+    std::vector<AnswerPtr> others;
+    for (int i = 0; i < 10; ++i) {
+        others.push_back(cluster.ask("other", 3));
+    }
+    for (const AnswerPtr &other : others) {
+        cluster.wait("another answer", [&] {
+            return other->isOver;
+        });
+        BOOST_TEST(other->hasDone);
+        BOOST_TEST(cluster.engines[leaving]->openStreams() <= before);
+    }
+    cluster.wait("the answer", [&] {
+        return answer->isOver;
+    });
+    BOOST_TEST(answer->text == cluster.expected("drums", 40));
+    BOOST_TEST(cluster.engines[leaving]->positionsApplied() == 42u); // a prompt of 3 tokens and 39 answer tokens, once each
+    cluster.wait("the sidecar to end", [&] {
+        return isFinished;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(the_list_marks_a_target_as_leaving)
+{
+    // The platform marks an instance as leaving; its sidecar knows nothing of it and still announces itself as ready.
+    Cluster cluster;
+    cluster.platform.listInstance("engine-2", "sidecar", cluster.sidecars[2]->linkAddress(), true);
+    cluster.wait("the entry to read the list", [&] {
+        return json::parse(cluster.entries[0]->status())["coverage"]["assistant@v1"]["10-22"] == 1;
+    });
+    const std::uint64_t before = cluster.engines[2]->positionsApplied();
+    for (int i = 0; i < 5; ++i) {
+        const AnswerPtr answer = cluster.ask("x", 2);
+        cluster.wait("an answer", [&] {
+            return answer->isOver;
+        });
+        BOOST_TEST(answer->hasDone);
+    }
+    BOOST_TEST(cluster.engines[2]->positionsApplied() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_target_joins_without_the_list)
+{
+    // A sidecar starts that is on no list. Entries hear its announcement and use it.
+    ClusterOptions options;
+    options.holders = 1;
+    Cluster cluster(options);
+    cluster.killSidecar(0);
+    cluster.wait("the entry to see it go", [&] {
+        return json::parse(cluster.entries[0]->status())["coverage"]["assistant@v1"]["0-10"] == 0;
+    });
+    cluster.startSidecar(0);
+    cluster.wait("the entry to use it", [&] {
+        return json::parse(cluster.entries[0]->status())["coverage"]["assistant@v1"]["0-10"] == 1;
+    });
+    const AnswerPtr answer = cluster.ask("x", 4);
+    cluster.wait("an answer", [&] {
+        return answer->isOver;
+    });
+    BOOST_TEST(answer->text == cluster.expected("x", 4));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_data_center_goes)
+{
+    // All targets of one data centre are killed at once, in the middle of answers; each range still has a holder in the
+    // other one.
+    Cluster cluster(slowEngines());
+    std::vector<AnswerPtr> answers;
+    for (int i = 0; i < 20; ++i) {
+        answers.push_back(cluster.ask("question " + std::to_string(i), 30, static_cast<std::size_t>(i % 2)));
+    }
+    cluster.wait("tokens of all", [&] {
+        return std::all_of(answers.begin(), answers.end(), [](const AnswerPtr &answer) {
+            return answer->events >= 3;
+        });
+    });
+    for (std::size_t i = 0; i < 6; i += 2) {
+        cluster.killSidecar(i);
+    }
+    for (int i = 0; i < 20; ++i) {
+        cluster.wait("an answer", [&] {
+            return answers[static_cast<std::size_t>(i)]->isOver;
+        });
+        BOOST_TEST(answers[static_cast<std::size_t>(i)]->text == cluster.expected("question " + std::to_string(i), 30));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(processes_of_the_version_before_take_part)
+{
+    // Sidecars still speak wire version 1 while the entries speak 2: during an update of the fleet both are there.
+    ClusterOptions options;
+    int count = 0;
+    options.tuneSidecar = [&count](SidecarSettings &sidecar) {
+        sidecar.wireVersion = 1 + count++ % 2;
+    };
+    options.tuneEntry = [](EntrySettings &entry) {
+        entry.wireVersion = entry.id == "entry-0" ? 2 : 1;
+    };
+    Cluster cluster(options);
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        for (int i = 0; i < 4; ++i) {
+            const AnswerPtr answer = cluster.ask("old and new", 5, entry);
+            cluster.wait("an answer", [&] {
+                return answer->isOver;
+            });
+            BOOST_TEST(answer->text == cluster.expected("old and new", 5));
+        }
+        BOOST_TEST(cluster.send(post("/services/booking/bookings", "{}"), entry).status == 201);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
