A bench of real processes; timers read the precise clock

Cause: one token between two took 4.06 ms at an engine whose step takes 0.5 ms, with and without the router: libevent reads the kernel's coarse clock (4 ms ticks) unless told otherwise.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -30,6 +30,7 @@
 ABSL_FLAG(uint32_t, prompt_words, 40, "median words in a prompt");
 ABSL_FLAG(uint32_t, max_tokens, 32, "tokens asked for");
 ABSL_FLAG(uint64_t, seed, 1, "seed of prompts and arrivals");
+ABSL_FLAG(std::string, direct, "", "ask this engine, which holds all layers, without parsleytrail in between");
 ABSL_FLAG(std::string, label, "", "put before each name");
 
 using namespace Parsleytrail;
@@ -41,6 +42,7 @@
                     [--max_tokens=N] [--seed=N] [--label=TEXT]
 
 Closed loop (--streams): keeps N streams open until --requests are answered.
+Direct (--direct=HOST:PORT --streams=N --requests=N): the same streams at one engine, for comparison.
 Open loop (--rate): sends at random times, whether or not answers come, for --seconds.
 
 Prints "name value unit" lines: answers by outcome, wrong answers, time to first token, time between tokens, tokens a
@@ -112,6 +114,9 @@
     std::vector<Address> m_entries;
     std::mt19937_64 m_random;
     Timer m_arrival;
+    void sendDirect();
+    void stepDirect(const std::shared_ptr<Question> &question, std::uint32_t position, std::uint32_t token);
+
     Totals m_totals;
     std::uint64_t m_open = 0;
     std::chrono::steady_clock::time_point m_startedAt{};
@@ -180,8 +185,60 @@
     }
 }
 
+/// One token of a stream at an engine without the router: the step that the first and only stage would make.
+void Load::stepDirect(const std::shared_ptr<Question> &question, std::uint32_t position, std::uint32_t token)
+{
+    json item = {{"stream", std::to_string(reinterpret_cast<std::uintptr_t>(question.get()))},
+                 {"position", position},
+                 {"model", absl::GetFlag(FLAGS_model)},
+                 {"version", absl::GetFlag(FLAGS_model_version)},
+                 {"adapter", absl::GetFlag(FLAGS_adapter)}};
+    if (position == 0) {
+        item["reset"] = true;
+        item["prompt"] = "user: " + question->prompt + "\n";
+    } else {
+        item["tokens"] = {token};
+    }
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/engine/v1/step";
+    request.body = json{{"items", {item}}}.dump();
+    m_client.fetch(m_entries.front(), std::move(request), [this, question, position](const HttpResult &result) {
+        question->status = result.status;
+        const json answer = json::parse(result.body, nullptr, false);
+        if (!result.isOk() || !answer.is_object() || !answer["items"][0].contains("tokens")) {
+            return finish(*question);
+        }
+        const json &step = answer["items"][0];
+        const json &last = step["tokens"].back();
+        (question->tokens == 0 ? m_totals.firstToken : m_totals.betweenTokens)
+            .record(secondsSince(question->tokens == 0 ? question->sentAt : question->lastAt));
+        question->lastAt = std::chrono::steady_clock::now();
+        question->text += last[1].get<std::string>();
+        ++question->tokens;
+        question->hasDone = last[2].get<bool>() || question->tokens >= absl::GetFlag(FLAGS_max_tokens);
+        if (question->hasDone) {
+            return finish(*question);
+        }
+        stepDirect(question, position + step["positions"].get<std::uint32_t>(), last[0].get<std::uint32_t>());
+    });
+}
+
+void Load::sendDirect()
+{
+    const auto question = std::make_shared<Question>();
+    question->prompt = makePrompt();
+    question->sentAt = std::chrono::steady_clock::now();
+    ++m_totals.sent;
+    ++m_open;
+    stepDirect(question, 0, 0);
+}
+
 void Load::send()
 {
+    if (!absl::GetFlag(FLAGS_direct).empty()) {
+        return sendDirect();
+    }
     const auto question = std::make_shared<Question>();
     question->prompt = makePrompt();
     const json body = {{"model", absl::GetFlag(FLAGS_service)},
@@ -275,7 +332,8 @@
     std::vector<Address> entries;
     Error error;
     const auto parse = [&]() -> Result<void> {
-        for (const std::string &text : absl::GetFlag(FLAGS_entries)) {
+        const bool isDirect = !absl::GetFlag(FLAGS_direct).empty();
+        for (const std::string &text : isDirect ? std::vector<std::string>{absl::GetFlag(FLAGS_direct)} : absl::GetFlag(FLAGS_entries)) {
             BOOST_LEAF_AUTO(address, parseAddress(text));
             entries.push_back(address);
         }
--- a/src/entry/configuration_keeper.cpp
+++ b/src/entry/configuration_keeper.cpp
@@ -121,6 +121,7 @@
     ConfigurationVersion peerVersion; ///< newest heard of from a peer in service
     bool hasPeer = false;
     bool isPolling = false;
+    std::uint64_t bytesSent = 0; ///< of section texts
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     void force(Configuration fresh);
@@ -448,9 +449,19 @@
 
 void ConfigurationKeeper::sendTo(const LinkPtr &link, ConfigurationVersion known, SectionScope scope)
 {
-    if (known < d->configuration.version) {
-        link->send(makeUpdate(d->configuration, d->log, known, scope));
+    if (known >= d->configuration.version) {
+        return;
+    }
+    const ConfigurationUpdate update = makeUpdate(d->configuration, d->log, known, scope);
+    for (const SectionText &section : update.sections) {
+        d->bytesSent += section.name.size() + section.text.size();
     }
+    link->send(update);
+}
+
+std::uint64_t ConfigurationKeeper::bytesSent() const
+{
+    return d->bytesSent;
 }
 
 bool ConfigurationKeeper::isTrusted() const
--- a/src/entry/configuration_keeper.h
+++ b/src/entry/configuration_keeper.h
@@ -67,6 +67,8 @@
     /// Whether this process has good reason to hold the newest configuration: it read the row since its start, or a
     /// peer that serves gave it one while the store was away.
     bool isTrusted() const;
+    /// Bytes of section texts sent to peers and sidecars.
+    std::uint64_t bytesSent() const;
     /// A peer in service has this version in force.
     void notePeer(ConfigurationVersion version);
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -376,7 +376,8 @@
     result["incarnation"] = incarnation.value;
     result["retryBudget"] = {{"saved", context->retries.saved}, {"burst", context->retries.burst}};
     result["links"] = links->size();
-    result["datagramsRefused"] = datagrams->refused();
+    result["datagrams"] = {{"refused", datagrams->refused()}, {"bytesSent", datagrams->bytesSent()}, {"bytesReceived", datagrams->bytesReceived()}};
+    result["configurationBytesSent"] = keeper->bytesSent();
     result["openStreams"] = json::parse(streams->dump());
     result["openCalls"] = json::parse(calls->dump());
     return result;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -199,7 +199,7 @@
     std::unordered_map<evhtp_request_t *, ExchangePtr> exchanges;
     std::unordered_map<evhtp_connection_t *, evhtp_request_t *> current; ///< request being answered on a connection
     std::map<evhtp_connection_t *, ConnectionState> connections;         ///< all open ones; libevhtp keeps no list
-    ConnectionState forgotten; ///< see stateOf()
+    ConnectionState forgotten;                                           ///< see stateOf()
     std::unique_ptr<Timer> sweepTimer;
 
     /// libevhtp calls a request's end hook after its connection's: what is noted then goes nowhere, and must not bring the
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -315,7 +315,7 @@
                    {"target", {{"address", settings.target}, {"isHealthy", isTargetHealthy}, {"checksFencing", settings.checksFencing}}},
                    {"announcedTo", entries},
                    {"store", {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}}},
-                   {"datagramsRefused", datagrams->refused()},
+                   {"datagrams", {{"refused", datagrams->refused()}, {"bytesSent", datagrams->bytesSent()}, {"bytesReceived", datagrams->bytesReceived()}}},
                    {"linksToSidecars", peers->size()}};
     if (isApplication) {
         result["service"] = settings.service;
--- a/src/wire/datagrams.cpp
+++ b/src/wire/datagrams.cpp
@@ -20,6 +20,8 @@
     int socket = -1;
     event *readable = nullptr;
     std::uint64_t refused = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
 
     void readAll()
     {
@@ -29,6 +31,7 @@
             if (size < 0) {
                 return;
             }
+            bytesReceived += static_cast<std::uint64_t>(size);
             take(buffer.data(), static_cast<std::size_t>(size));
         }
     }
@@ -86,6 +89,7 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(to.port);
     inet_pton(AF_INET, to.host.c_str(), &target.sin_addr);
+    d->bytesSent += m_buffer.size();
     sendto(d->socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr *>(&target), sizeof target);
 }
 
@@ -94,4 +98,14 @@
     return d->refused;
 }
 
+std::uint64_t Datagrams::bytesSent() const
+{
+    return d->bytesSent;
+}
+
+std::uint64_t Datagrams::bytesReceived() const
+{
+    return d->bytesReceived;
+}
+
 } // namespace Parsleytrail
--- a/src/wire/datagrams.h
+++ b/src/wire/datagrams.h
@@ -33,6 +33,9 @@
     }
     /// Datagrams dropped because their header was wrong.
     std::uint64_t refused() const;
+    /// Bytes of datagrams sent and received, without the headers of UDP and IP.
+    std::uint64_t bytesSent() const;
+    std::uint64_t bytesReceived() const;
 
 private:
     void sendBuffer(const Address &to);
--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -44,7 +44,11 @@
 {
     // A peer that closes while it is written to must give an error, not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    d->base = event_base_new();
+    // Without this flag libevent reads the kernel's coarse clock, which ticks every 4 ms: a timer of 0.5 ms fired after 4.
+    event_config *config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    d->base = event_base_new_with_config(config);
+    event_config_free(config);
     const auto run = [](evutil_socket_t, short, void *arg) {
         runDeferred(static_cast<Private *>(arg)->deferred);
     };
