Inputs that kill engines cost two targets at most; long lines in files

Cause: an input that kills each engine that runs it was retried until no holder was left, and again for each resend. Change: all inputs in flight at an engine's death are suspect and run their next step alone; a second death then has one suspect, which is refused at every entry (notices between entries), shown in the status and lifted by allow-inputs. Found on the way: a stream in flight at two engines that die of something else was convicted; a death is scored only if the attempt ran alone, and only if bytes of the step had left on a living connection. Also: lines over 198 bytes were refused (inih's buffer), so that a workspace with three keys could not be written. A suspect's pause of 20 ms is the price, paid only by streams whose engine died.

--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <optional>
 
 namespace Parsleytrail
 {
@@ -16,12 +17,15 @@
 namespace
 {
 
+constexpr std::size_t maxKeyBytes = 128; ///< of a line that is longer than inih's buffer
+
 /// State of one parse; handed to inih's callbacks.
 struct Parse {
-    std::string_view rest;             ///< text not read yet
-    int line = 0;                      ///< line last handed to inih
-    IniFile file;                      ///< result
-    std::vector<IniProblem> *problems; ///< where problems go
+    std::string_view rest;                ///< text not read yet
+    int line = 0;                         ///< line last handed to inih
+    std::optional<std::string> longValue; ///< value of that line, if it is too long for inih
+    IniFile file;                         ///< result
+    std::vector<IniProblem> *problems;    ///< where problems go
 };
 
 void addProblem(Parse &parse, const std::string &section, const std::string &key, std::string text)
@@ -56,10 +60,25 @@
     parse.file.sections.push_back({name, parse.line, {}});
 }
 
-/// fgets for inih: counts lines, and refuses what inih's buffer would cut silently.
+/// Puts a line's key into the buffer and keeps its value aside: inih's buffer holds 200 bytes, and what is longer it would
+/// cut and read the rest as another line. Returns false if the line is no "key = value".
+bool keepLongValue(Parse &parse, std::string_view line, std::string &shortened)
+{
+    const std::size_t equals = line.find('=');
+    if (equals == std::string_view::npos || equals > maxKeyBytes) {
+        return false;
+    }
+    const std::size_t comment = line.find(" ;", equals);
+    parse.longValue = std::string(trimmed(line.substr(equals + 1, comment == std::string_view::npos ? comment : comment - equals - 1)));
+    shortened = std::string(line.substr(0, equals + 1)) + " long";
+    return true;
+}
+
+/// fgets for inih: counts lines, and sees to lines that are longer than its buffer.
 char *readLine(char *buffer, int size, void *stream)
 {
     auto &parse = *static_cast<Parse *>(stream);
+    parse.longValue.reset();
     if (parse.rest.empty()) {
         return nullptr;
     }
@@ -67,9 +86,8 @@
     const std::size_t end = parse.rest.find('\n');
     std::string_view line = parse.rest.substr(0, end);
     parse.rest = end == std::string_view::npos ? std::string_view() : parse.rest.substr(end + 1);
-    const std::size_t limit = std::min<std::size_t>(maxIniLineBytes, static_cast<std::size_t>(size) - 2);
-    if (line.size() > limit) {
-        addProblem(parse, "", "", absl::StrCat("expected at most ", limit, " bytes in a line"));
+    if (line.size() > maxIniLineBytes) {
+        addProblem(parse, "", "", absl::StrCat("expected at most ", maxIniLineBytes, " bytes in a line"));
         line = "";
     }
     if (hasControlCharacter(line)) {
@@ -77,9 +95,18 @@
         line = "";
     }
     noteHeader(parse, line);
-    std::memcpy(buffer, line.data(), line.size());
-    buffer[line.size()] = '\n';
-    buffer[line.size() + 1] = '\0';
+    std::string shortened(line);
+    const bool isLong = line.size() > static_cast<std::size_t>(size) - 2;
+    const bool isComment = trimmed(line).starts_with(';') || trimmed(line).starts_with('#');
+    if (isLong && (isComment || !keepLongValue(parse, line, shortened))) {
+        shortened.clear();
+        if (!isComment) {
+            addProblem(parse, "", "", absl::StrCat("expected key = value, with a key of at most ", maxKeyBytes, " bytes"));
+        }
+    }
+    std::memcpy(buffer, shortened.data(), shortened.size());
+    buffer[shortened.size()] = '\n';
+    buffer[shortened.size() + 1] = '\0';
     return buffer;
 }
 
@@ -97,7 +124,7 @@
             return 1;
         }
     }
-    current.entries.push_back({name, value, parse.line});
+    current.entries.push_back({name, parse.longValue.value_or(value), parse.line});
     return 1;
 }
 
--- a/src/base/ini.h
+++ b/src/base/ini.h
@@ -44,8 +44,8 @@
     std::vector<IniSection> sections; ///< in the order of the text
 };
 
-constexpr std::size_t maxIniBytes = 8u << 20; ///< larger texts are refused
-constexpr std::size_t maxIniLineBytes = 4096; ///< longer lines are refused, never cut
+constexpr std::size_t maxIniBytes = 8u << 20;  ///< larger texts are refused
+constexpr std::size_t maxIniLineBytes = 16384; ///< longer lines are refused, never cut
 
 /// Parses a text. Repeated sections, repeated keys, keys before any section, over-long lines and control characters are problems.
 IniFile parseIni(std::string_view text, std::vector<IniProblem> &problems);
--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -334,8 +334,21 @@
     answer.exchange->reply(200, answerHeaders(answer), toText(body));
 }
 
+CompletionError convictedError(Outcome outcome)
+{
+    CompletionError error;
+    error.status = 422;
+    error.message = "this input was being run at two separate deaths of engines and is refused; the operator can lift it";
+    error.code = "input_refused";
+    error.outcome = outcome;
+    return error;
+}
+
 CompletionError toError(const StreamFailure &failure)
 {
+    if (failure.isConvicted) {
+        return convictedError(failure.outcome);
+    }
     CompletionError error;
     error.status = failure.isTimeout ? 504 : failure.outcome == Outcome::NotRun ? 503 : 502;
     error.type = "server_error";
@@ -353,6 +366,7 @@
 struct Completions::Private {
     EntryContext &context;
     Streams &streams;
+    const InputGuard &guard;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
     std::size_t openInAll = 0;
     std::uint64_t &answered;
@@ -454,6 +468,13 @@
     stream.prompt = request.prompt;
     stream.maxTokens = request.maxTokens > 0 ? request.maxTokens : static_cast<std::uint32_t>(service.maxTokens);
     stream.fingerprint = hash64(request.prompt, hash64(request.service));
+    stream.service.value = request.service;
+    stream.workspace = caller.workspace;
+    stream.allowedInputs = service.allowInputs;
+    if (guard.judge(stream.fingerprint, service.allowInputs) == InputStanding::Convicted) {
+        ++refused;
+        return replyCompletionError(exchange, convictedError(Outcome::NotRun), caller.shownId);
+    }
     stream.deadline = service.deadline;
     const auto answer = std::make_shared<OpenAnswer>();
     answer->request = std::move(request);
@@ -468,9 +489,10 @@
 
 // [SECTION] Completions
 
-Completions::Completions(EntryContext &context, Streams &streams)
+Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard)
     : d(new Private{context,
                     streams,
+                    guard,
                     {},
                     0,
                     context.metrics.counter("parsley_completions_answered", "Completions answered in full."),
--- a/src/entry/completions.h
+++ b/src/entry/completions.h
@@ -22,7 +22,7 @@
 class Completions
 {
 public:
-    Completions(EntryContext &context, Streams &streams);
+    Completions(EntryContext &context, Streams &streams, const InputGuard &guard);
     ~Completions();
 
     /// POST /v1/chat/completions
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -34,6 +34,7 @@
     std::unique_ptr<EntryContext> context;
     std::unique_ptr<Store> store;
     std::unique_ptr<Targets> targets;
+    std::unique_ptr<InputGuard> guard;
     std::unique_ptr<Streams> streams;
     std::unique_ptr<KeyedCalls> keys;
     std::unique_ptr<ServiceCalls> calls;
@@ -147,10 +148,11 @@
     limits.burst = 2 * std::max(limits.readsPerSecond, limits.writesPerSecond);
     store = std::make_unique<Store>(loop, clock, client, platformAddress, limits);
     targets = std::make_unique<Targets>(*context);
-    streams = std::make_unique<Streams>(*context, *targets);
+    guard = std::make_unique<InputGuard>(*context);
+    streams = std::make_unique<Streams>(*context, *targets, *guard);
     keys = std::make_unique<KeyedCalls>(*context, *store);
     calls = std::make_unique<ServiceCalls>(*context, *targets, *keys);
-    completions = std::make_unique<Completions>(*context, *streams);
+    completions = std::make_unique<Completions>(*context, *streams, *guard);
     keeper = std::make_unique<ConfigurationKeeper>(*context, *store);
     datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame) {
         takeDatagram(frame);
@@ -177,6 +179,11 @@
     keeper->onChanged([this] {
         configurationChanged();
     });
+    guard->onNotice([this](const SuspicionNotice &notice) {
+        for (const Address &peer : peers->fanOut()) {
+            links->link(peer)->send(notice);
+        }
+    });
     peers->onHeard([this](const EntryAnnouncement &announcement) {
         takePeer(announcement);
     });
@@ -239,6 +246,14 @@
         keeper->sendTo(link, wanted.version, link->peer().role == Role::Entry ? SectionScope::All : SectionScope::WithoutWorkspaces);
         return true;
     }
+    case SuspicionNotice::messageId: {
+        SuspicionNotice notice;
+        if (!decodeFrame(frame, notice)) {
+            return false;
+        }
+        guard->take(notice);
+        return true;
+    }
     case TokenFrame::messageId:
     case StageFailed::messageId:
     case StageReport::messageId:
@@ -269,6 +284,11 @@
         keeper->notePeer(announcement.configuration);
     }
     const LinkPtr link = links->link({announcement.host, announcement.port});
+    if (peers->isNewcomer(announcement)) {
+        for (const SuspicionNotice &notice : guard->notices()) {
+            link->send(notice);
+        }
+    }
     const ConfigurationVersion mine = keeper->inForce().version;
     if (announcement.configuration > mine) {
         link->send(ConfigurationWanted{mine});
@@ -305,6 +325,7 @@
     streams->tick();
     calls->tick();
     keys->flush();
+    guard->prune();
 }
 
 std::vector<Address> Entry::Private::sidecarAddresses() const
@@ -363,6 +384,7 @@
     result["id"] = settings.id;
     result["version"] = PARSLEYTRAIL_VERSION;
     result["isReady"] = isReady();
+    result["suspectInputs"] = guard->describe();
     result["streams"] = streams->size();
     result["calls"] = calls->open();
     result["store"] = {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}, {"unwrittenCallEnds", keys->unwritten()}};
--- /dev/null
+++ b/src/entry/input_guard.cpp
@@ -0,0 +1,118 @@
+#include "entry/input_guard.h"
+
+#include "base/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+std::string fingerprintText(std::uint64_t fingerprint)
+{
+    return absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16));
+}
+
+struct InputGuard::Private {
+    EntryContext &context;
+    Quarantine quarantine;
+    std::function<void(const SuspicionNotice &)> notice;
+    std::uint64_t &convicted;
+
+    void add(std::uint64_t fingerprint, const Suspicion &suspicion);
+    SuspicionNotice noticeOf(std::uint64_t fingerprint, const Suspicion &suspicion) const;
+};
+
+SuspicionNotice InputGuard::Private::noticeOf(std::uint64_t fingerprint, const Suspicion &suspicion) const
+{
+    return {fingerprint, {suspicion.crashes.begin(), suspicion.crashes.end()}, suspicion.service, suspicion.workspace, suspicion.request};
+}
+
+void InputGuard::Private::add(std::uint64_t fingerprint, const Suspicion &suspicion)
+{
+    const bool wasConvicted = judgeInput(quarantine, fingerprint) == InputStanding::Convicted;
+    if (!noteCrash(quarantine, fingerprint, suspicion, context.clock.now())) {
+        return;
+    }
+    const bool isConvicted = judgeInput(quarantine, fingerprint) == InputStanding::Convicted;
+    if (isConvicted && !wasConvicted) {
+        ++convicted;
+    }
+    logEvent(isConvicted ? Event::InputConvicted : Event::InputSuspected, {{"fingerprint", fingerprintText(fingerprint)},
+                                                                           {"service", suspicion.service.value},
+                                                                           {"workspace", suspicion.workspace.value},
+                                                                           {"request", suspicion.request.value}});
+    notice(noticeOf(fingerprint, quarantine.suspicions.at(fingerprint)));
+}
+
+InputGuard::InputGuard(EntryContext &context)
+    : d(new Private{context, {}, {}, context.metrics.counter("parsley_inputs_convicted", "Inputs refused because they kill engines.")})
+{
+}
+
+InputGuard::~InputGuard() = default;
+
+void InputGuard::onNotice(std::function<void(const SuspicionNotice &)> handler)
+{
+    d->notice = std::move(handler);
+}
+
+InputStanding InputGuard::judge(std::uint64_t fingerprint, const std::vector<std::string> &allowed) const
+{
+    const InputStanding standing = judgeInput(d->quarantine, fingerprint);
+    const bool isAllowed = standing == InputStanding::Convicted && std::find(allowed.begin(), allowed.end(), fingerprintText(fingerprint)) != allowed.end();
+    return isAllowed ? InputStanding::Suspect : standing;
+}
+
+void InputGuard::noteDeath(std::uint64_t fingerprint, std::uint64_t crash, const ServiceName &service, const WorkspaceName &workspace, const RequestId &request)
+{
+    d->add(fingerprint, {{crash}, service, workspace, request, {}});
+}
+
+void InputGuard::notePass(std::uint64_t fingerprint)
+{
+    if (notePassed(d->quarantine, fingerprint)) {
+        d->notice({fingerprint, {}, {}, {}, {}});
+    }
+}
+
+void InputGuard::take(const SuspicionNotice &notice)
+{
+    if (notice.crashes.empty()) {
+        return notePass(notice.fingerprint);
+    }
+    d->add(notice.fingerprint, {{notice.crashes.begin(), notice.crashes.end()}, notice.service, notice.workspace, notice.request, {}});
+}
+
+std::vector<SuspicionNotice> InputGuard::notices() const
+{
+    std::vector<SuspicionNotice> list;
+    for (const auto &[fingerprint, suspicion] : d->quarantine.suspicions) {
+        list.push_back(d->noticeOf(fingerprint, suspicion));
+    }
+    return list;
+}
+
+void InputGuard::prune()
+{
+    Parsleytrail::prune(d->quarantine, d->context.clock.now());
+}
+
+nlohmann::json InputGuard::describe() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[fingerprint, suspicion] : d->quarantine.suspicions) {
+        const bool isConvicted = judgeInput(d->quarantine, fingerprint) == InputStanding::Convicted;
+        list.push_back({{"fingerprint", fingerprintText(fingerprint)},
+                        {"standing", isConvicted ? "refused" : "suspect"},
+                        {"crashes", suspicion.crashes.size()},
+                        {"service", suspicion.service.value},
+                        {"workspace", suspicion.workspace.value},
+                        {"request", suspicion.request.value}});
+    }
+    return list;
+}
+
+} // namespace Parsleytrail
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -95,6 +95,12 @@
     d->leaving = std::move(handler);
 }
 
+bool Peers::isNewcomer(const EntryAnnouncement &announcement) const
+{
+    const auto it = d->views.find(announcement.entry);
+    return it != d->views.end() && it->second.isNewcomer;
+}
+
 void Peers::start(const Address &self)
 {
     d->self = self;
@@ -109,6 +115,7 @@
     if (announcement.incarnation < view.last.incarnation) {
         return;
     }
+    view.isNewcomer = announcement.incarnation != view.last.incarnation;
     view.last = announcement;
     view.heardAt = d->context.clock.now();
     view.isSilent = false;
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -13,9 +13,10 @@
 
 /// An entry that was heard.
 struct PeerView {
-    EntryAnnouncement last; ///< newest announcement
-    TimePoint heardAt{};    ///< when it came
-    bool isSilent = false;  ///< nothing for silence-timeout
+    EntryAnnouncement last;  ///< newest announcement
+    TimePoint heardAt{};     ///< when it came
+    bool isSilent = false;   ///< nothing for silence-timeout
+    bool isNewcomer = false; ///< the newest announcement is the first of its incarnation
 };
 
 /// Announces this entry and hears others.
@@ -28,6 +29,8 @@
 
     /// Called when an entry announced itself.
     void onHeard(std::function<void(const EntryAnnouncement &)> handler);
+    /// Whether the announcement is the first of an entry's incarnation; only within the handler of onHeard.
+    bool isNewcomer(const EntryAnnouncement &announcement) const;
     /// Called when the platform's list was read: targets marked as leaving.
     void onLeaving(std::function<void(const std::vector<TargetId> &)> handler);
 
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -34,6 +34,9 @@
     TimePoint progressAt{};                            ///< last token, or start of the attempt
     TimePoint failedAt{};                              ///< first failure since the last token; zero: none
     TimePoint waitingSince{};                          ///< no chain since; zero: has one
+    bool isSuspect = false;                            ///< an engine died under it; cleared by the next token
+    bool isAttemptSuspect = false;                     ///< the current attempt was opened as a suspect: its first steps run alone
+    TimePoint notBefore{};                             ///< no new attempt before
     bool hasQuery = false;                             ///< StageQuery is out
     TimePoint queryEndsAt{};                           ///< then whoever has not answered is taken as gone
     std::vector<std::optional<StageProgress>> reports; ///< answers to it
@@ -61,9 +64,11 @@
 struct Streams::Private {
     EntryContext &context;
     Targets &targets;
+    InputGuard &guard;
     std::unordered_map<RequestId, OpenStream> streams;
     std::map<ModelName, ModelTimes> times;
     TimePoint refilledAt{};
+    Timer suspectTimer; ///< tries suspects again as soon as their pause is over
     std::uint64_t &replaced;
     std::uint64_t &tokensEmitted;
     std::uint64_t &tokensDropped;
@@ -71,9 +76,14 @@
     TimeHistogram &betweenTokens;
     TimeHistogram &recovery;
 
-    Private(EntryContext &entryContext, Targets &entryTargets)
+    Private(EntryContext &entryContext, Targets &entryTargets, InputGuard &inputGuard)
         : context(entryContext)
         , targets(entryTargets)
+        , guard(inputGuard)
+        , suspectTimer(context.loop,
+                       [this] {
+                           retryWaiting();
+                       })
         , replaced(context.metrics.counter("parsley_stages_replaced", "New attempts made because a stage failed."))
         , tokensEmitted(context.metrics.counter("parsley_tokens_emitted", "Tokens given to callers."))
         , tokensDropped(context.metrics.counter("parsley_tokens_dropped", "Tokens that came twice, from an old attempt, or for no open stream."))
@@ -89,15 +99,18 @@
     StageAddress toStage(const TargetView &target) const;
     void startAttempt(OpenStream &stream);
     void wait(OpenStream &stream);
+    void retryWaiting();
     void replaceStage(OpenStream &stream, std::uint32_t stageIndex, const Error &error, bool isTargetsFault);
     void renew(OpenStream &stream, const Error &error);
 
     void closeStages(const OpenStream &stream);
     void finish(OpenStream &stream, FinishReason reason, std::uint32_t promptTokens);
-    void fail(OpenStream &stream, const Error &error, bool isTimeout);
+    void fail(OpenStream &stream, const Error &error, StreamFailure failure = {});
 
     void takeToken(const TokenFrame &frame);
     void takeFailure(const StageFailed &frame);
+    bool noteDeath(OpenStream &stream, const StageFailed &frame);
+    void refuseConvicted(OpenStream &stream, const Error &error);
     void takeReport(const StageReport &frame);
 
     milliseconds progressTimeout(const OpenStream &stream);
@@ -155,7 +168,8 @@
     open.tokens = stream.emitted;
     open.maxTokens = stream.request.maxTokens;
     open.priority = stream.request.priority;
-    open.fingerprint = stream.request.fingerprint;
+    open.isSuspect = guard.judge(stream.request.fingerprint, stream.request.allowedInputs) != InputStanding::Clear;
+    stream.isAttemptSuspect = open.isSuspect;
     for (std::uint32_t i = 0; i < stream.chain.size(); ++i) {
         const StageAddress &stage = stream.chain[i];
         open.stageIndex = i;
@@ -176,9 +190,9 @@
     }
 }
 
+/// Leaves the stream to a later try, on the chain that is set if there is one.
 void Streams::Private::wait(OpenStream &stream)
 {
-    stream.chain.clear();
     if (stream.waitingSince == TimePoint{}) {
         stream.waitingSince = context.clock.now();
     }
@@ -188,11 +202,15 @@
 void Streams::Private::renew(OpenStream &stream, const Error &error)
 {
     if (stream.attempt.value >= maxAttempts) {
-        return fail(stream, error, false);
+        return fail(stream, error);
+    }
+    if (stream.isSuspect && guard.judge(stream.request.fingerprint, stream.request.allowedInputs) == InputStanding::Convicted) {
+        return refuseConvicted(stream, error);
     }
     const bool hasChain = !stream.chain.empty() || chooseStages(stream);
     const bool isFirst = stream.attempt == Attempt{};
-    if (!hasChain || (!isFirst && !tryRetry(context.retries))) {
+    const bool isTooEarly = context.clock.now() < stream.notBefore;
+    if (!hasChain || isTooEarly || (!isFirst && !tryRetry(context.retries))) {
         return wait(stream);
     }
     if (!isFirst) {
@@ -256,13 +274,11 @@
     handlers->onEnd(reason, promptTokens);
 }
 
-void Streams::Private::fail(OpenStream &stream, const Error &error, bool isTimeout)
+void Streams::Private::fail(OpenStream &stream, const Error &error, StreamFailure failure)
 {
     closeStages(stream);
-    StreamFailure failure;
     failure.error = error;
     failure.outcome = stream.attempt == Attempt{} ? Outcome::NotRun : Outcome::Unknown;
-    failure.isTimeout = isTimeout;
     logEvent(Event::StreamFailed, {{"request", stream.request.id.value},
                                    {"attempt", std::to_string(stream.attempt.value)},
                                    {"step", error.step},
@@ -294,6 +310,10 @@
         noteTime(stream->emitted.empty() ? modelTimes.firstToken : modelTimes.betweenTokens, gap);
     }
     (stream->emitted.empty() ? firstToken : betweenTokens).record(gap);
+    if (stream->isSuspect) {
+        stream->isSuspect = false;
+        guard.notePass(stream->request.fingerprint);
+    }
     stream->emitted.push_back(frame.token);
     stream->progressAt = now;
     stream->idleQueries = 0;
@@ -314,12 +334,48 @@
     }
 }
 
+/// An engine died with the stream in flight. Returns false if the stream was ended because its input is convicted.
+bool Streams::Private::noteDeath(OpenStream &stream, const StageFailed &frame)
+{
+    const StreamRequest &request = stream.request;
+    // A second death under an attempt that did not run alone yet says nothing new: a stream is in flight at several
+    // stages, and two of their engines may die together of something else.
+    const bool saysNothingNew = stream.isSuspect && !stream.isAttemptSuspect;
+    if (saysNothingNew) {
+        return true;
+    }
+    guard.noteDeath(request.fingerprint, frame.crash, request.service, request.workspace, request.id);
+    stream.isSuspect = true;
+    stream.notBefore = context.clock.now() + suspectPause;
+    if (!suspectTimer.isRunning()) {
+        suspectTimer.start(suspectPause + milliseconds(1));
+    }
+    if (guard.judge(request.fingerprint, request.allowedInputs) != InputStanding::Convicted) {
+        return true;
+    }
+    if (frame.stageIndex < stream.chain.size()) {
+        targets.noteFailure(stream.chain[frame.stageIndex].target);
+    }
+    refuseConvicted(stream, {frame.step, frame.peer, ""});
+    return false;
+}
+
+void Streams::Private::refuseConvicted(OpenStream &stream, const Error &error)
+{
+    StreamFailure failure;
+    failure.isConvicted = true;
+    fail(stream, {error.step, error.peer, "the input was in flight at two separate deaths of engines"}, failure);
+}
+
 void Streams::Private::takeFailure(const StageFailed &frame)
 {
     OpenStream *stream = find(frame.request);
     if (!stream || frame.attempt != stream->attempt) {
         return;
     }
+    if (frame.crash != 0 && !noteDeath(*stream, frame)) {
+        return;
+    }
     const bool isTargetsFault = frame.kind == FailureKind::TargetLost || frame.kind == FailureKind::TargetTimeout || frame.kind == FailureKind::NextStageLost;
     replaceStage(*stream, frame.stageIndex, {frame.step, frame.peer, toString(frame.kind)}, isTargetsFault);
 }
@@ -403,8 +459,8 @@
 
 // [SECTION] Streams
 
-Streams::Streams(EntryContext &context, Targets &targets)
-    : d(std::make_unique<Private>(context, targets))
+Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard)
+    : d(std::make_unique<Private>(context, targets, guard))
 {
 }
 
@@ -487,20 +543,25 @@
 }
 
 void Streams::targetsChanged()
+{
+    d->retryWaiting();
+}
+
+void Streams::Private::retryWaiting()
 {
     std::vector<RequestId> waiting;
-    for (const auto &[request, stream] : d->streams) {
+    for (const auto &[request, stream] : streams) {
         if (stream.waitingSince != TimePoint{}) {
             waiting.push_back(request);
         }
     }
-    const TimePoint now = d->context.clock.now();
+    const TimePoint now = context.clock.now();
     for (const RequestId &request : waiting) {
-        OpenStream *stream = d->find(request);
+        OpenStream *stream = find(request);
         if (now - stream->waitingSince >= exclusionLife) {
             stream->excluded.clear();
         }
-        d->renew(*stream, {"choose chain", "", "no target holds the layers"});
+        renew(*stream, {"choose chain", "", "no target holds the layers"});
     }
 }
 
@@ -524,11 +585,13 @@
             continue;
         }
         if (now - stream->openedAt >= stream->request.deadline) {
-            d->fail(*stream, {"answer in time", "", "the deadline passed"}, true);
+            StreamFailure late;
+            late.isTimeout = true;
+            d->fail(*stream, {"answer in time", "", "the deadline passed"}, late);
         } else if (stream->waitingSince == TimePoint{}) {
             d->checkProgress(*stream, now);
         } else if (now - stream->waitingSince >= (stream->emitted.empty() ? longestWaitToBegin : longestWaitForTarget)) {
-            d->fail(*stream, {"choose chain", "", "no targets hold all layers of the model"}, false);
+            d->fail(*stream, {"choose chain", "", "no targets hold all layers of the model"});
         }
     }
 }
--- a/src/entry/streams.h
+++ b/src/entry/streams.h
@@ -5,6 +5,7 @@
 // stage sends it its results again.
 #pragma once
 
+#include "entry/input_guard.h"
 #include "entry/targets.h"
 #include "policy/chain.h"
 
@@ -15,13 +16,16 @@
 
 /// A request to a pipeline.
 struct StreamRequest {
-    RequestId id;                  ///< unique in the system
-    ModelNeed need;                ///< model, version, adapter
-    std::string prompt;            ///< text
-    std::uint32_t maxTokens = 1;   ///< tokens to generate at most
-    std::uint32_t priority = 0;    ///< 0 is lowest
-    std::uint64_t fingerprint = 0; ///< hash of the input
-    milliseconds deadline{60000};  ///< longest time for the whole answer
+    RequestId id;                           ///< unique in the system
+    ModelNeed need;                         ///< model, version, adapter
+    std::string prompt;                     ///< text
+    std::uint32_t maxTokens = 1;            ///< tokens to generate at most
+    std::uint32_t priority = 0;             ///< 0 is lowest
+    std::uint64_t fingerprint = 0;          ///< hash of the input
+    ServiceName service;                    ///< named by the caller
+    WorkspaceName workspace;                ///< of the caller
+    std::vector<std::string> allowedInputs; ///< fingerprints that the service never refuses
+    milliseconds deadline{60000};           ///< longest time for the whole answer
 };
 
 /// Why a stream ended without its last token.
@@ -29,6 +33,7 @@
     Error error;                       ///< step and peer
     Outcome outcome = Outcome::NotRun; ///< NotRun only if no stage was ever opened
     bool isTimeout = false;            ///< the deadline passed
+    bool isConvicted = false;          ///< the input kills engines
 };
 
 /// Callbacks of a stream. The last call is onEnd or onFail, once.
@@ -42,7 +47,7 @@
 class Streams
 {
 public:
-    Streams(EntryContext &context, Targets &targets);
+    Streams(EntryContext &context, Targets &targets, InputGuard &guard);
     ~Streams();
 
     /// Opens a stream. Callbacks come later, never from within this call.
@@ -70,6 +75,7 @@
     std::unique_ptr<Private> d;
 };
 
+constexpr milliseconds suspectPause{20};            ///< before a suspect's next attempt, so that other entries have heard of it
 constexpr std::uint32_t maxAttempts = 16;           ///< of one stream
 constexpr milliseconds longestWaitToBegin{1000};    ///< a stream without a token that finds no chain for this long fails
 constexpr milliseconds longestWaitForTarget{10000}; ///< a stream that the caller has part of fails after this long without a chain
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -141,6 +141,7 @@
     failure.error = {"HTTP request", connection->address.toString(), text};
     // On a kept connection the bytes may sit in a socket that the server has just closed: nobody can tell.
     failure.wasHandedOver = !connection->isFresh || connection->hasWritten;
+    failure.hasWritten = connection->hasWritten;
     failure.isTimeout = isTimeout;
     breakConnection();
     finish(failure);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -30,6 +30,7 @@
 struct HttpFailure {
     Error error;               ///< step "HTTP request" and the peer
     bool wasHandedOver = true; ///< false only when no byte of the request left this process
+    bool hasWritten = true;    ///< bytes of it went to a socket that had not been seen to close
     bool isTimeout = false;    ///< the time ran out
 };
 
--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,72 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+static bool isConvicted(const Suspicion &suspicion)
+{
+    return suspicion.crashes.size() >= crashesToConvict;
+}
+
+InputStanding judgeInput(const Quarantine &quarantine, std::uint64_t fingerprint)
+{
+    const auto it = quarantine.suspicions.find(fingerprint);
+    if (it == quarantine.suspicions.end()) {
+        return InputStanding::Clear;
+    }
+    return isConvicted(it->second) ? InputStanding::Convicted : InputStanding::Suspect;
+}
+
+static void dropOldest(Quarantine &quarantine)
+{
+    auto oldest = quarantine.suspicions.end();
+    for (auto it = quarantine.suspicions.begin(); it != quarantine.suspicions.end(); ++it) {
+        if (!isConvicted(it->second) && (oldest == quarantine.suspicions.end() || it->second.notedAt < oldest->second.notedAt)) {
+            oldest = it;
+        }
+    }
+    if (oldest != quarantine.suspicions.end()) {
+        quarantine.suspicions.erase(oldest);
+    }
+}
+
+bool noteCrash(Quarantine &quarantine, std::uint64_t fingerprint, const Suspicion &suspicion, TimePoint now)
+{
+    const bool isNew = !quarantine.suspicions.count(fingerprint);
+    if (isNew && quarantine.suspicions.size() >= maxSuspicions) {
+        dropOldest(quarantine);
+    }
+    Suspicion &known = quarantine.suspicions[fingerprint];
+    const std::size_t before = known.crashes.size();
+    known.crashes.insert(suspicion.crashes.begin(), suspicion.crashes.end());
+    if (known.crashes.size() == before) {
+        return false;
+    }
+    known.service = suspicion.service;
+    known.workspace = suspicion.workspace;
+    known.request = suspicion.request;
+    known.notedAt = now;
+    return true;
+}
+
+bool notePassed(Quarantine &quarantine, std::uint64_t fingerprint)
+{
+    const auto it = quarantine.suspicions.find(fingerprint);
+    if (it == quarantine.suspicions.end() || isConvicted(it->second)) {
+        return false;
+    }
+    quarantine.suspicions.erase(it);
+    return true;
+}
+
+void prune(Quarantine &quarantine, TimePoint now)
+{
+    std::erase_if(quarantine.suspicions, [now](const auto &item) {
+        const auto life = isConvicted(item.second) ? convictionLife : suspicionLife;
+        return now - item.second.notedAt >= life;
+    });
+}
+
+} // namespace Parsleytrail
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -1,6 +1,7 @@
 // Index: [SECTION] Encoding, [SECTION] Steps, [SECTION] Health, [SECTION] EngineClient
 #include "sidecar/engine_client.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 #include "policy/progress.h"
 
@@ -72,6 +73,9 @@
     std::deque<PendingItem> queue;
     std::size_t inFlight = 0;
     bool isSendScheduled = false;
+    bool isAloneInFlight = false;  ///< the step in flight must have the engine for itself
+    std::uint64_t deaths = 0;      ///< of the engine, as seen by broken steps
+    bool hasStepSinceDeath = true; ///< broken steps with none done in between belong to one death
     EngineReport report;
     std::uint32_t missedReports = 0;
     bool isRefreshing = false;
@@ -79,15 +83,35 @@
     TimeHistogram &stepHistogram;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+    bool maySend() const;
+    std::uint64_t crashId();
     void scheduleSend();
     void send();
     void finish(std::vector<PendingItem> &items, const HttpResult &result);
     void takeReport(const HttpResult &result);
 };
 
+bool EngineClient::Private::maySend() const
+{
+    if (queue.empty() || isAloneInFlight) {
+        return false;
+    }
+    return inFlight < (queue.front().item.isAlone ? 1 : maxStepsInFlight);
+}
+
+/// Names the death of the engine that broke a step.
+std::uint64_t EngineClient::Private::crashId()
+{
+    if (hasStepSinceDeath) {
+        ++deaths;
+        hasStepSinceDeath = false;
+    }
+    return hash64(context.settings.id, context.incarnation.value + deaths);
+}
+
 void EngineClient::Private::scheduleSend()
 {
-    if (isSendScheduled || inFlight >= maxStepsInFlight || queue.empty()) {
+    if (isSendScheduled || !maySend()) {
         return;
     }
     isSendScheduled = true;
@@ -102,16 +126,18 @@
 
 void EngineClient::Private::send()
 {
-    if (inFlight >= maxStepsInFlight || queue.empty()) {
+    if (!maySend()) {
         return;
     }
     std::vector<PendingItem> items;
     json encoded = json::array();
-    while (!queue.empty() && items.size() < maxItemsInStep) {
+    const bool isAlone = queue.front().item.isAlone;
+    while (!queue.empty() && items.size() < (isAlone ? 1 : maxItemsInStep) && queue.front().item.isAlone == isAlone) {
         items.push_back(std::move(queue.front()));
         queue.pop_front();
         encoded.push_back(encodeItem(items.back().item));
     }
+    isAloneInFlight = isAlone;
     HttpClientRequest request;
     request.method = "POST";
     request.path = "/engine/v1/step";
@@ -127,9 +153,11 @@
             return;
         }
         --inFlight;
+        isAloneInFlight = false;
         const double seconds = std::chrono::duration<double>(context.clock.now() - started).count();
         if (result.isOk()) {
             noteTime(stepTime, seconds);
+            hasStepSinceDeath = true;
             stepHistogram.record(seconds);
         }
         scheduleSend();
@@ -145,6 +173,9 @@
     if (result.failure) {
         lost.end = result.failure->isTimeout ? StepEnd::TimedOut : StepEnd::Lost;
         lost.error = result.failure->error.toString();
+        if (lost.end == StepEnd::Lost && result.failure->hasWritten) {
+            lost.crash = crashId();
+        }
     } else {
         const json answer = json::parse(result.body, nullptr, false);
         lost.error = "malformed answer with status " + std::to_string(result.status);
@@ -200,8 +231,18 @@
 // [SECTION] EngineClient
 
 EngineClient::EngineClient(SidecarContext &context)
-    : d(new Private{
-        context, {}, 0, false, {}, 0, false, {}, context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
+    : d(new Private{context,
+                    {},
+                    0,
+                    false,
+                    false,
+                    0,
+                    true,
+                    {},
+                    0,
+                    false,
+                    {},
+                    context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
 {
 }
 
--- a/src/sidecar/engine_client.h
+++ b/src/sidecar/engine_client.h
@@ -19,6 +19,7 @@
     bool isFirst = false;           ///< input values are tokens, not activations
     std::uint32_t promptLength = 0; ///< 0 if not known yet
     std::uint32_t priority = 0;     ///< 0 is lowest
+    bool isAlone = false;           ///< nothing else may be at the engine during this step
 };
 
 /// How a step ended for one stream.
@@ -37,6 +38,7 @@
     std::uint32_t positions = 0;            ///< positions applied
     std::vector<std::uint64_t> activations; ///< unless this is the last stage
     std::vector<KeptToken> tokens;          ///< at the last stage
+    std::uint64_t crash = 0;                ///< Lost: the same for all that were in flight at this death; 0: it was not handed over
 };
 
 /// What the engine holds, as it last reported.
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -27,6 +27,7 @@
     TimePoint orphanedAt{};               ///< when the entry's link closed
     std::uint64_t generation = 0;         ///< tells apart streams that reuse a request's id here
     bool isAtEngine = false;              ///< the engine knows the stream
+    bool isSuspect = false;               ///< the next step runs alone
     std::uint32_t askedFrom = UINT32_MAX; ///< position of the last ResumeFrom sent in this attempt
 };
 
@@ -113,7 +114,7 @@
     HeldStream *find(const RequestId &request);
     EarlyFrames *earlyFor(const RequestId &request);
     void erase(const RequestId &request);
-    void report(const HeldStream &stream, std::uint32_t stageIndex, FailureKind kind, std::string step, std::string peer);
+    void report(const HeldStream &stream, std::uint32_t stageIndex, FailureKind kind, std::string step, std::string peer, std::uint64_t crash = 0);
     static void refuse(const LinkPtr &link, const OpenStage &open, FailureKind kind, const char *step);
 
     void askResume(HeldStream &stream);
@@ -167,11 +168,11 @@
     streams.erase(it);
 }
 
-void Stages::Private::report(const HeldStream &stream, std::uint32_t stageIndex, FailureKind kind, std::string step, std::string peer)
+void Stages::Private::report(const HeldStream &stream, std::uint32_t stageIndex, FailureKind kind, std::string step, std::string peer, std::uint64_t crash)
 {
     ++failed;
     if (stream.entry) {
-        stream.entry->send(StageFailed{stream.core.request, stream.core.attempt, stageIndex, kind, std::move(step), std::move(peer)});
+        stream.entry->send(StageFailed{stream.core.request, stream.core.attempt, stageIndex, kind, std::move(step), std::move(peer), crash});
     }
 }
 
@@ -276,6 +277,7 @@
     item.isFirst = stream.core.isFirst;
     item.promptLength = stream.core.promptLength;
     item.priority = stream.open.priority;
+    item.isAlone = stream.isSuspect;
     if (input->withPrompt) {
         item.prompt = stream.open.prompt;
     }
@@ -313,10 +315,11 @@
         const FailureKind kind = result.end == StepEnd::TimedOut ? FailureKind::TargetTimeout
                                  : result.end == StepEnd::Lost   ? FailureKind::TargetLost
                                                                  : FailureKind::Refused;
-        report(*stream, stream->core.stageIndex, kind, "engine step: " + result.error.substr(0, 100), context.targetAddress.toString());
+        report(*stream, stream->core.stageIndex, kind, "engine step: " + result.error.substr(0, 100), context.targetAddress.toString(), result.crash);
         // Whether the engine applied the positions is not known, so that its state can't be used again.
         return erase(request);
     }
+    stream->isSuspect = false;
     const std::size_t keptBefore = stream->core.kept.size();
     endStep(stream->core, result.promptLength, result.positions, result.activations);
     positionsApplied += result.positions;
@@ -380,6 +383,7 @@
     }
     known->open = open;
     known->entry = link;
+    known->isSuspect = open.isSuspect;
     known->askedFrom = UINT32_MAX;
     if (open.attempt > Attempt{1}) {
         askResume(*known);
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -111,11 +111,24 @@
 BOOST_AUTO_TEST_CASE(an_over_long_line_is_refused_and_not_cut)
 {
     // inih would take the first bytes of the line as a value and the rest as another line.
-    const std::vector<IniProblem> problems = problemsOf(usualConfiguration() + "[service.x]\nkind = plain\nmodel = " + std::string(6000, 'm') + "\n");
+    const std::vector<IniProblem> problems = problemsOf(usualConfiguration() + "[service.x]\nkind = plain\nmodel = " + std::string(20000, 'm') + "\n");
     BOOST_REQUIRE(problems.size() == 1u);
     BOOST_TEST(problems[0].text.find("bytes in a line") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_long_line_is_read_whole)
+{
+    // inih's own buffer holds 200 bytes: a workspace with three keys was refused.
+    std::string digests;
+    for (int i = 0; i < 40; ++i) {
+        digests += (i > 0 ? ", " : "") + sha256Hex("key " + std::to_string(i));
+    }
+    const Configuration configuration = parse(usualConfiguration("[workspace.many]\nkey-digests = " + digests + " ; forty\nservices = chat\n"));
+    BOOST_TEST(configuration.workspaces.at("many").keyDigests.size() == 40u);
+    BOOST_TEST(configuration.workspaces.at("many").keyDigests.back() == sha256Hex("key 39"));
+    BOOST_TEST(parse(configurationText(configuration)).digest == configuration.digest);
+}
+
 BOOST_AUTO_TEST_CASE(order_blanks_and_comments_change_nothing)
 {
     const Configuration a = parse("[model.m]\nlayers = 3\nversions = v1\n[target-class.c]\naccelerator = x\nmemory-gib = 1\ntokens-per-second = 1\n");
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -168,7 +168,7 @@
         print_slope(f"slopes.sidecar.{figure}_by_targets", [(count, sidecar[figure]) for count, _, sidecar in by_targets], unit, "target")
     by_entries = []
     for entries in (2, 6, 12):
-        with System(holders=2, entries=entries, applications=0) as system:
+        with System(holders=2, entries=entries, applications=0, sidecar_settings={"announce-entries": entries}) as system:
             system.apply(system.configuration())
             system.wait_ready()
             time.sleep(2)
