Load reports between announcements; a history checker and random fault runs

Cause: announcements of 170 bytes twice a second for each target put 340 B/s a target on an entry: at 67 targets 23 KB/s, over the limit of 4 KB/s. Promises under failure were tested one by one only. Change: sidecars send load reports (52 bytes) and a full announcement every 16th time or when more than the load changes; an entry that hears an unknown target's report makes itself known.

--- /dev/null
+++ b/bench/check_history_main.cpp
@@ -0,0 +1,43 @@
+// parsley-check-history: judges the promises from history files.
+#include "bench/history_checker.h"
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <iostream>
+
+using namespace Parsleytrail;
+
+static constexpr const char *helpText = R"(parsley-check-history: judges the promises of the system from the histories of a run.
+
+Usage: parsley-check-history FILE...
+
+The files are what processes wrote under the setting history-file; give those of all processes of a run. Prints each
+broken promise with the offending event. Exit: 0 none, 1 some, 2 a file can't be read.
+)";
+
+int main(int argc, char **argv)
+{
+    if (argc < 2 || std::strcmp(argv[1], "--help") == 0) {
+        std::cout << helpText;
+        return argc < 2 ? 2 : 0;
+    }
+    std::vector<std::string> lines;
+    for (int i = 1; i < argc; ++i) {
+        std::ifstream file(argv[i]);
+        if (!file) {
+            std::cerr << argv[i] << ": cannot be read\n";
+            return 2;
+        }
+        std::string line;
+        while (std::getline(file, line)) {
+            lines.push_back(line);
+        }
+    }
+    const std::vector<Violation> violations = checkHistory(lines);
+    for (const Violation &violation : violations) {
+        std::cout << toString(violation.promise) << ": " << violation.text << ": " << violation.event << '\n';
+    }
+    std::cout << lines.size() << " events, " << violations.size() << " violations\n";
+    return violations.empty() ? 0 : 1;
+}
--- a/src/base/history.cpp
+++ b/src/base/history.cpp
@@ -10,12 +10,13 @@
 struct History::Private {
     const Clock &clock;
     std::string process;
+    std::uint64_t incarnation;
     std::ofstream file;
     Sink sink;
 };
 
-History::History(const Clock &clock, std::string process)
-    : d(new Private{clock, std::move(process), {}, {}})
+History::History(const Clock &clock, std::string process, std::uint64_t incarnation)
+    : d(new Private{clock, std::move(process), incarnation, {}, {}})
 {
 }
 
@@ -43,7 +44,7 @@
         return;
     }
     const auto micros = std::chrono::duration_cast<microseconds>(d->clock.now().time_since_epoch()).count();
-    nlohmann::json line = {{"at", micros}, {"process", d->process}, {"event", event}};
+    nlohmann::json line = {{"at", micros}, {"process", d->process}, {"incarnation", d->incarnation}, {"event", event}};
     for (const HistoryField &field : fields) {
         std::visit(
             [&](const auto &value) {
--- a/src/base/history.h
+++ b/src/base/history.h
@@ -26,8 +26,8 @@
 public:
     using Sink = std::function<void(const std::string &line)>;
 
-    /// `process` stands in every event.
-    History(const Clock &clock, std::string process);
+    /// `process` and its start stand in every event.
+    History(const Clock &clock, std::string process, std::uint64_t incarnation);
     ~History();
 
     /// Appends to a file. Returns false if it can't be opened.
--- a/src/entry/configuration_keeper.cpp
+++ b/src/entry/configuration_keeper.cpp
@@ -151,7 +151,7 @@
     configuration = std::move(fresh);
     logEvent(Event::ConfigurationInForce, {{"version", std::to_string(configuration.version.value)}, {"digest", configuration.digest}});
     if (context.history.isOn()) {
-        context.history.record("configuration", {{"version", configuration.version.value}});
+        context.history.record("configuration", {{"version", configuration.version.value}, {"digest", configuration.digest}});
     }
     changed();
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -63,7 +63,7 @@
     Result<void> listen();
 
     bool takeFrame(const LinkPtr &link, const Frame &frame);
-    void takeDatagram(const Frame &frame);
+    void takeDatagram(const Frame &frame, const Address &from);
     void takePeer(const EntryAnnouncement &announcement);
     void configurationChanged();
 
@@ -84,7 +84,7 @@
     , loop(eventLoop)
     , clock(systemClock)
     , incarnation(startOf(systemClock))
-    , history(systemClock, settings.id)
+    , history(systemClock, settings.id, incarnation.value)
     , client(eventLoop)
     , tickTimer(eventLoop,
                 [this] {
@@ -154,8 +154,8 @@
     calls = std::make_unique<ServiceCalls>(*context, *targets, *keys);
     completions = std::make_unique<Completions>(*context, *streams, *guard);
     keeper = std::make_unique<ConfigurationKeeper>(*context, *store);
-    datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame) {
-        takeDatagram(frame);
+    datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
+        takeDatagram(frame, from);
     });
     peers = std::make_unique<Peers>(*context, *store, *datagrams, std::move(seeds), [this](EntryAnnouncement &announcement) {
         announcement.state = context->isDraining ? TargetState::Draining : isReady() ? TargetState::Ready : TargetState::Joining;
@@ -263,7 +263,7 @@
     }
 }
 
-void Entry::Private::takeDatagram(const Frame &frame)
+void Entry::Private::takeDatagram(const Frame &frame, const Address &from)
 {
     if (frame.message == Announcement::messageId) {
         Announcement announcement;
@@ -272,6 +272,15 @@
         }
         return;
     }
+    LoadReport report;
+    if (frame.message == LoadReport::messageId && decodeFrame(frame, report)) {
+        if (!targets->take(report)) {
+            // Unknown here, most likely since this process has just started: the sidecar announces itself in full to an
+            // entry that it hears of for the first time.
+            peers->announceTo(from);
+        }
+        return;
+    }
     EntryAnnouncement peer;
     if (frame.message == EntryAnnouncement::messageId && decodeFrame(frame, peer)) {
         peers->take(peer);
@@ -373,6 +382,7 @@
         logEvent(Event::DrainTimeout, {{"open", std::to_string(open())}});
     }
     drainTimer.stop();
+    history.record("drained", {{"open", std::uint64_t{open()}}});
     drained();
 }
 
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -22,6 +22,7 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     std::vector<Address> picked() const;
+    EntryAnnouncement describeSelf() const;
     void takeList(const std::vector<ListedInstance> &instances);
 };
 
@@ -122,16 +123,22 @@
     d->heard(announcement);
 }
 
-void Peers::announce(const std::vector<Address> &sidecars)
+EntryAnnouncement Peers::Private::describeSelf() const
 {
     EntryAnnouncement announcement;
-    announcement.entry.value = d->context.settings.id;
-    announcement.incarnation = d->context.incarnation;
-    announcement.region = d->context.settings.region;
-    announcement.dataCenter = d->context.settings.dataCenter;
-    announcement.host = d->self.host;
-    announcement.port = d->self.port;
-    d->describe(announcement);
+    announcement.entry.value = context.settings.id;
+    announcement.incarnation = context.incarnation;
+    announcement.region = context.settings.region;
+    announcement.dataCenter = context.settings.dataCenter;
+    announcement.host = self.host;
+    announcement.port = self.port;
+    describe(announcement);
+    return announcement;
+}
+
+void Peers::announce(const std::vector<Address> &sidecars)
+{
+    const EntryAnnouncement announcement = d->describeSelf();
     for (const Address &peer : d->picked()) {
         d->datagrams.send(peer, announcement);
     }
@@ -140,6 +147,11 @@
     }
 }
 
+void Peers::announceTo(const Address &address)
+{
+    d->datagrams.send(address, d->describeSelf());
+}
+
 void Peers::tick()
 {
     const TimePoint now = d->context.clock.now();
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -38,6 +38,8 @@
     void take(const EntryAnnouncement &announcement);
     /// Announces now, to peers and to these sidecars.
     void announce(const std::vector<Address> &sidecars);
+    /// Announces now to one process.
+    void announceTo(const Address &address);
     /// Reads the list if it is time.
     void tick();
 
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -284,6 +284,9 @@
                                    {"step", error.step},
                                    {"peer", error.peer},
                                    {"reason", error.text}});
+    if (context.history.isOn()) {
+        context.history.record("stream-ended", {{"request", stream.request.id.value}, {"outcome", failure.outcome == Outcome::NotRun ? "not-run" : "unknown"}});
+    }
     const auto handlers = stream.handlers;
     streams.erase(stream.request.id);
     handlers->onFail(failure);
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <unordered_map>
 
 namespace Parsleytrail
 {
@@ -22,10 +23,12 @@
 struct Targets::Private {
     EntryContext &context;
     std::map<TargetId, KnownTarget> targets;
+    std::unordered_map<std::uint64_t, TargetId> targetOfKey; ///< by the key of load reports
     std::function<void(const TargetId &)> gone;
     std::function<void()> usable;
     std::function<void(const LinkPtr &, ConfigurationVersion)> oldConfiguration;
 
+    void heard(KnownTarget &target);
     void join(KnownTarget &target, const Announcement &announcement);
     void pushIfOld(KnownTarget &target, ConfigurationVersion inForce);
 };
@@ -60,6 +63,8 @@
 void Targets::Private::join(KnownTarget &target, const Announcement &announcement)
 {
     const bool isRestart = target.view.last.incarnation != Incarnation{};
+    targetOfKey.erase(targetKeyOf(announcement.target, target.view.last.incarnation));
+    targetOfKey[targetKeyOf(announcement.target, announcement.incarnation)] = announcement.target;
     const std::uint32_t openHere = target.view.openHere;
     target.view = TargetView{};
     target.view.openHere = openHere;
@@ -101,11 +106,7 @@
     const TargetState before = target.view.last.state;
     const bool wasUsable = takesNewWork(target.view, d->context.clock.now());
     target.view.last = announcement;
-    target.view.heardAt = d->context.clock.now();
-    if (target.view.isSilent) {
-        target.view.isSilent = false;
-        logEvent(Event::TargetBack, {{"target", announcement.target.value}});
-    }
+    d->heard(target);
     if (announcement.state == TargetState::Draining && before != TargetState::Draining) {
         logEvent(Event::TargetDraining, {{"target", announcement.target.value}});
     }
@@ -119,6 +120,41 @@
     }
 }
 
+void Targets::Private::heard(KnownTarget &target)
+{
+    target.view.heardAt = context.clock.now();
+    if (target.view.isSilent) {
+        target.view.isSilent = false;
+        logEvent(Event::TargetBack, {{"target", target.view.last.target.value}});
+    }
+}
+
+bool Targets::take(const LoadReport &report)
+{
+    const auto key = d->targetOfKey.find(report.targetKey);
+    const auto it = key == d->targetOfKey.end() ? d->targets.end() : d->targets.find(key->second);
+    if (it == d->targets.end()) {
+        return false;
+    }
+    if (report.sequence <= it->second.view.last.sequence) {
+        return true;
+    }
+    KnownTarget &target = it->second;
+    Announcement &last = target.view.last;
+    last.sequence = report.sequence;
+    last.streams = report.streams;
+    last.queued = report.queued;
+    last.stepMicros = report.stepMicros;
+    last.kvUsed = report.kvUsed;
+    const bool wasSilent = target.view.isSilent;
+    d->heard(target);
+    d->context.links.link(addressOf(last));
+    if (wasSilent) {
+        d->usable();
+    }
+    return true;
+}
+
 void Targets::markLeaving(const std::vector<TargetId> &leaving)
 {
     for (auto &[id, target] : d->targets) {
@@ -146,8 +182,13 @@
             d->gone(id);
         }
     }
-    std::erase_if(d->targets, [now](const auto &item) {
-        return now - item.second.view.heardAt >= forgetAfter && item.second.view.openHere == 0;
+    std::erase_if(d->targets, [this, now](const auto &item) {
+        const TargetView &view = item.second.view;
+        const bool isForgotten = now - view.heardAt >= forgetAfter && view.openHere == 0;
+        if (isForgotten) {
+            d->targetOfKey.erase(targetKeyOf(item.first, view.last.incarnation));
+        }
+        return isForgotten;
     });
 }
 
--- a/src/entry/targets.h
+++ b/src/entry/targets.h
@@ -24,6 +24,8 @@
     void onOldConfiguration(std::function<void(const LinkPtr &, ConfigurationVersion)> handler);
 
     void take(const Announcement &announcement, ConfigurationVersion inForce);
+    /// Takes the load of a target; false if it has not announced itself here.
+    bool take(const LoadReport &report);
     /// Marks targets as leaving that the platform's list shows as leaving.
     void markLeaving(const std::vector<TargetId> &leaving);
     /// The link to an address broke: its target gets no new work until it announces itself again.
--- a/src/policy/target.cpp
+++ b/src/policy/target.cpp
@@ -1,10 +1,17 @@
 #include "policy/target.h"
 
+#include "base/digest.h"
+
 #include <algorithm>
 
 namespace Parsleytrail
 {
 
+std::uint64_t targetKeyOf(const TargetId &target, Incarnation incarnation)
+{
+    return hash64(target.value, incarnation.value);
+}
+
 bool takesNewWork(const TargetView &target, TimePoint now)
 {
     const bool isReady = target.last.state == TargetState::Ready;
--- a/src/policy/target.h
+++ b/src/policy/target.h
@@ -19,6 +19,8 @@
     TimePoint ejectedUntil{};        ///< gets no new work before this time
 };
 
+/// Names a target's incarnation in load reports.
+std::uint64_t targetKeyOf(const TargetId &target, Incarnation incarnation);
 /// Whether the target may get new work at all.
 bool takesNewWork(const TargetView &target, TimePoint now);
 /// Expected time for one more item, in microseconds, from its own report and from what this entry sent since.
--- a/src/sidecar/announcer.cpp
+++ b/src/sidecar/announcer.cpp
@@ -1,12 +1,24 @@
 #include "sidecar/announcer.h"
 
 #include "policy/rendezvous.h"
+#include "policy/target.h"
 
 #include <map>
 
 namespace Parsleytrail
 {
 
+namespace
+{
+
+/// An entry that was heard of.
+struct KnownEntry {
+    TimePoint heardAt{};     ///< last
+    Incarnation incarnation; ///< of its last announcement; 0 if it is only on the list
+};
+
+} // namespace
+
 struct Announcer::Private {
     SidecarContext &context;
     Store &store;
@@ -15,7 +27,10 @@
     std::function<void(Announcement &)> describe;
     Address self;
     std::uint64_t sequence = 0;
-    std::map<Address, TimePoint> known; ///< entries, with when they were last heard of
+    Announcement announced;              ///< last sent in full
+    std::uint32_t reportsSince = 0;      ///< load reports since then
+    std::vector<Address> announcedTo;    ///< who got it
+    std::map<Address, KnownEntry> known; ///< entries
     TimePoint nextPoll{};
     Timer timer;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -34,7 +49,9 @@
     }
 
     void tick();
+    Announcement describeFully();
     void announce();
+    void reportLoad(const Announcement &announcement);
     void pollMembership();
     std::vector<Address> picked() const;
 };
@@ -42,7 +59,7 @@
 std::vector<Address> Announcer::Private::picked() const
 {
     std::vector<Address> all = seeds;
-    for (const auto &[address, heardAt] : known) {
+    for (const auto &[address, entry] : known) {
         if (std::find(all.begin(), all.end(), address) == all.end()) {
             all.push_back(address);
         }
@@ -59,7 +76,14 @@
     return result;
 }
 
-void Announcer::Private::announce()
+/// Whether anything but the load differs, so that a load report would not do.
+static bool differsBeyondLoad(const Announcement &a, const Announcement &b)
+{
+    return a.state != b.state || a.model != b.model || a.version != b.version || a.adapters != b.adapters || a.layerBegin != b.layerBegin
+           || a.layerEnd != b.layerEnd || a.kvCapacity != b.kvCapacity || a.configuration != b.configuration;
+}
+
+Announcement Announcer::Private::describeFully()
 {
     Announcement announcement;
     announcement.target.value = context.settings.id;
@@ -72,8 +96,31 @@
     announcement.targetClass = context.settings.targetClass;
     announcement.wireVersion = static_cast<std::uint16_t>(context.settings.wireVersion);
     describe(announcement);
-    for (const Address &entry : picked()) {
-        datagrams.send(entry, announcement);
+    return announcement;
+}
+
+void Announcer::Private::announce()
+{
+    announced = describeFully();
+    announcedTo = picked();
+    reportsSince = 0;
+    for (const Address &entry : announcedTo) {
+        datagrams.send(entry, announced);
+    }
+}
+
+void Announcer::Private::reportLoad(const Announcement &announcement)
+{
+    LoadReport report;
+    report.targetKey = targetKeyOf(announcement.target, announcement.incarnation);
+    report.sequence = announcement.sequence;
+    report.streams = announcement.streams;
+    report.queued = announcement.queued;
+    report.stepMicros = announcement.stepMicros;
+    report.kvUsed = announcement.kvUsed;
+    ++reportsSince;
+    for (const Address &entry : announcedTo) {
+        datagrams.send(entry, report);
     }
 }
 
@@ -90,7 +137,7 @@
         }
         for (const ListedInstance &instance : instances) {
             if (instance.role == "entry" && !instance.isLeaving) {
-                known[instance.address] = context.clock.now();
+                known[instance.address].heardAt = context.clock.now();
             }
         }
     });
@@ -103,10 +150,16 @@
     // With the store away and nothing heard, an old list is better than none.
     if (!store.isDown()) {
         std::erase_if(known, [&](const auto &item) {
-            return now - item.second >= entryLife;
+            return now - item.second.heardAt >= entryLife;
         });
     }
-    announce();
+    const Announcement current = describeFully();
+    const bool isDue = reportsSince >= reportsBetweenAnnouncements || differsBeyondLoad(current, announced) || picked() != announcedTo;
+    if (isDue) {
+        announce();
+    } else {
+        reportLoad(current);
+    }
 }
 
 Announcer::Announcer(SidecarContext &context, Store &store, Datagrams &datagrams, std::vector<Address> seeds, std::function<void(Announcement &)> describe)
@@ -138,8 +191,9 @@
         d->known.erase(address);
         return;
     }
-    const bool isNew = !d->known.count(address);
-    d->known[address] = d->context.clock.now();
+    KnownEntry &known = d->known[address];
+    const bool isNew = known.incarnation != entry.incarnation;
+    known = {d->context.clock.now(), entry.incarnation};
     if (isNew) {
         d->announce();
     }
--- a/src/sidecar/announcer.h
+++ b/src/sidecar/announcer.h
@@ -22,7 +22,7 @@
 
     /// Starts announcing from this address.
     void start(const Address &self);
-    /// Announces now, e.g. because the state changed.
+    /// Announces in full now, e.g. because the state changed.
     void announce();
     /// An entry announced itself.
     void heardEntry(const EntryAnnouncement &entry);
@@ -34,8 +34,9 @@
     std::unique_ptr<Private> d;
 };
 
-constexpr milliseconds membershipPollAlone{1000}; ///< between reads of the list while no entry is known
-constexpr milliseconds membershipPoll{30000};     ///< between reads of the list otherwise: 3,100 sidecars make 103 reads a second
-constexpr milliseconds entryLife{60000};          ///< an entry that is heard of in no way for this long is forgotten
+constexpr std::uint32_t reportsBetweenAnnouncements = 15; ///< load reports, a quarter of the size, before the next full announcement
+constexpr milliseconds membershipPollAlone{1000};         ///< between reads of the list while no entry is known
+constexpr milliseconds membershipPoll{30000};             ///< between reads of the list otherwise: 3,100 sidecars make 103 reads a second
+constexpr milliseconds entryLife{60000};                  ///< an entry that is heard of in no way for this long is forgotten
 
 } // namespace Parsleytrail
--- a/src/sidecar/calls.cpp
+++ b/src/sidecar/calls.cpp
@@ -216,6 +216,7 @@
     if (!isMethodKnown(head.method)) {
         return fail(head.request, Outcome::NotRun, "begin call", "method not supported");
     }
+    context.history.record("opened", {{"request", head.request.value}});
 }
 
 void Calls::Private::takeBody(const CallBody &part)
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -75,7 +75,7 @@
     , clock(systemClock)
     , incarnation(startOf(systemClock))
     , isApplication(settings.kind == "application")
-    , history(systemClock, settings.id)
+    , history(systemClock, settings.id, incarnation.value)
     , client(eventLoop)
     , sweepTimer(eventLoop,
                  [this] {
@@ -125,7 +125,7 @@
     engine = std::make_unique<EngineClient>(*context);
     stages = std::make_unique<Stages>(*context, *engine);
     calls = std::make_unique<Calls>(*context);
-    datagrams = std::make_unique<Datagrams>(loop, wireVersion, [this](const Frame &frame) {
+    datagrams = std::make_unique<Datagrams>(loop, wireVersion, [this](const Frame &frame, const Address &) {
         takeDatagram(frame);
     });
     announcer = std::make_unique<Announcer>(*context, *store, *datagrams, std::move(seeds), [this](Announcement &announcement) {
@@ -293,6 +293,7 @@
         logEvent(Event::DrainTimeout, {{"open", std::to_string(open())}});
     }
     drainTimer.stop();
+    history.record("drained", {{"open", std::uint64_t{open()}}});
     drained();
 }
 
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -367,6 +367,7 @@
     if (!known) {
         known = &streams[open.request];
         known->generation = nextGeneration++;
+        context.history.record("opened", {{"request", open.request.value}, {"attempt", std::uint64_t{open.attempt.value}}});
     }
     const std::size_t keptBefore = known->core.kept.size();
     const bool isStale = !openAttempt(known->core, open);
--- a/src/wire/datagrams.cpp
+++ b/src/wire/datagrams.cpp
@@ -27,16 +27,18 @@
     {
         std::array<unsigned char, frameHeaderBytes + maxDatagramBytes> buffer;
         while (true) {
-            const ssize_t size = recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            sockaddr_in from{};
+            socklen_t fromSize = sizeof from;
+            const ssize_t size = recvfrom(socket, buffer.data(), buffer.size(), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&from), &fromSize);
             if (size < 0) {
                 return;
             }
             bytesReceived += static_cast<std::uint64_t>(size);
-            take(buffer.data(), static_cast<std::size_t>(size));
+            take(buffer.data(), static_cast<std::size_t>(size), from);
         }
     }
 
-    void take(const unsigned char *bytes, std::size_t size)
+    void take(const unsigned char *bytes, std::size_t size, const sockaddr_in &from)
     {
         FrameHeader header;
         const bool isWhole = size >= frameHeaderBytes && readHeader(bytes, maxDatagramBytes, header) && size == frameHeaderBytes + header.bytes;
@@ -45,7 +47,9 @@
             return;
         }
         const auto *payload = reinterpret_cast<const char *>(bytes + frameHeaderBytes);
-        handler({std::min(header.version, wireVersion), header.message, {payload, header.bytes}});
+        char host[INET_ADDRSTRLEN] = "";
+        inet_ntop(AF_INET, &from.sin_addr, host, sizeof host);
+        handler({std::min(header.version, wireVersion), header.message, {payload, header.bytes}}, {host, ntohs(from.sin_port)});
     }
 };
 
--- a/src/wire/datagrams.h
+++ b/src/wire/datagrams.h
@@ -15,7 +15,7 @@
 class Datagrams
 {
 public:
-    using Handler = std::function<void(const Frame &)>;
+    using Handler = std::function<void(const Frame &, const Address &from)>;
 
     /// `wireVersion` is the newest version written and read. Malformed datagrams are counted and dropped.
     Datagrams(EventLoop &loop, std::uint16_t wireVersion, Handler handler);
--- a/stand-ins/engine.cpp
+++ b/stand-ins/engine.cpp
@@ -64,6 +64,7 @@
     double slowFactor = 1;
     bool isDead = false;
     json reported = json::object(); ///< load as of the last report
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     TimePoint reportedAt{};
 
     Private(EventLoop &eventLoop, EngineOptions engineOptions)
@@ -316,7 +317,10 @@
     isDead = true;
     stepTimer.stop();
     // The server can't be destroyed on its own stack.
-    loop.defer([this] {
+    loop.defer([this, weak = std::weak_ptr(alive)] {
+        if (weak.expired()) {
+            return;
+        }
         server.reset();
         waiting.clear();
         running.clear();
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -76,6 +76,7 @@
             if (m_options.tuneEngine) {
                 m_options.tuneEngine(engine);
             }
+            m_engineOptions.push_back(engine);
             engines.push_back(std::make_unique<StandIn::Engine>(loop, engine));
             engines.back()->recordSteps(true);
             m_targets.push_back(unwrap(engines.back()->listen({"127.0.0.1", 0})));
@@ -87,6 +88,38 @@
     }
 }
 
+void Cluster::recordEngine(std::size_t index)
+{
+    for (const StandIn::StepRecord &step : engines[index]->records()) {
+        history.push_back(
+            json{{"event", "engine-step"}, {"engine", step.engine}, {"stream", step.stream}, {"position", step.position}, {"positions", step.positions}}
+                .dump());
+    }
+}
+
+void Cluster::restartEngine(std::size_t index)
+{
+    recordEngine(index);
+    engines[index].reset();
+    StandIn::EngineOptions options = m_engineOptions[index];
+    options.id += "#" + std::to_string(++m_engineStarts);
+    engines[index] = std::make_unique<StandIn::Engine>(loop, options);
+    engines[index]->recordSteps(true);
+    unwrap(engines[index]->listen(m_targets[index]));
+}
+
+void Cluster::recordStandIns()
+{
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        recordEngine(i);
+    }
+    for (const auto &application : applications) {
+        for (const StandIn::Booking &booking : application->bookings()) {
+            history.push_back(json{{"event", "booked"}, {"reference", booking.reference}}.dump());
+        }
+    }
+}
+
 void Cluster::makeSettings()
 {
     for (std::uint32_t i = 0; i < m_options.entries; ++i) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -71,6 +71,10 @@
     /// Text of the answer that a correct run gives.
     std::string expected(const std::string &prompt, std::uint32_t maxTokens) const;
 
+    /// Ends an engine if it lives, and starts an empty one on its port.
+    void restartEngine(std::size_t index);
+    /// Adds what the stand-ins ran to the history.
+    void recordStandIns();
     void killSidecar(std::size_t index);
     void startSidecar(std::size_t index);
     void killEntry(std::size_t index);
@@ -92,11 +96,14 @@
 
 private:
     void makeEngines();
+    void recordEngine(std::size_t index);
     void makeSettings();
 
     ClusterOptions m_options;
     Address m_platform;
     std::vector<Address> m_targets;
+    std::vector<StandIn::EngineOptions> m_engineOptions;
+    int m_engineStarts = 0;
     std::vector<SidecarSettings> m_sidecarSettings;
     std::vector<EntrySettings> m_entrySettings;
 };
