--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,352 @@
+// The decisions, as pure functions.
+#include "policy/budget.h"
+#include "policy/chain.h"
+#include "policy/circuit.h"
+#include "policy/progress.h"
+#include "policy/rendezvous.h"
+#include "policy/stage_stream.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace Parsleytrail;
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::hours(1)};
+
+/// A target that holds a range of model m.
+TargetView holder(const std::string &id, std::uint32_t begin, std::uint32_t end, const std::string &dataCenter = "dc-0")
+{
+    TargetView view;
+    view.last.target.value = id;
+    view.last.incarnation.value = 1;
+    view.last.state = TargetState::Ready;
+    view.last.model.value = "m";
+    view.last.version = "v1";
+    view.last.layerBegin = begin;
+    view.last.layerEnd = end;
+    view.last.dataCenter = dataCenter;
+    view.last.stepMicros = 1000;
+    view.joinedAt = start - std::chrono::hours(1);
+    return view;
+}
+
+std::vector<const TargetView *> pointers(const std::vector<TargetView> &views)
+{
+    std::vector<const TargetView *> list;
+    for (const TargetView &view : views) {
+        list.push_back(&view);
+    }
+    return list;
+}
+
+const ModelNeed need{{"m"}, "v1", "", 30};
+
+OpenStage openFor(std::uint32_t attempt, std::uint32_t stage, std::uint32_t stages)
+{
+    OpenStage open;
+    open.request.value = "r";
+    open.attempt.value = attempt;
+    open.stageIndex = stage;
+    for (std::uint32_t i = 0; i < stages; ++i) {
+        open.stages.push_back({{"t" + std::to_string(i)}, {1}, "127.0.0.1", 1, i * 10, i * 10 + 10});
+    }
+    open.maxTokens = 1000;
+    return open;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(policy)
+
+// [SECTION] Stages
+
+BOOST_AUTO_TEST_CASE(a_stage_applies_each_position_once_in_order_whatever_arrives)
+{
+    // Frames come doubled, late, out of order, overlapping, from old attempts and for other layers. What the stage gives to
+    // its engine is always the next positions, each with the value that belongs to it.
+    const bool isRight = rc::check([] {
+        StageStream stream;
+        openAttempt(stream, openFor(1, 1, 3));
+        std::uint32_t attempt = 1;
+        std::vector<std::uint64_t> applied;
+        const auto steps = *rc::gen::inRange(1, 60);
+        for (int i = 0; i < steps; ++i) {
+            const auto action = *rc::gen::inRange(0, 10);
+            if (action == 0) {
+                openAttempt(stream, openFor(++attempt, 1, 3));
+                continue;
+            }
+            ActivationFrame frame;
+            frame.attempt.value = attempt - (action == 1 ? 1 : 0);
+            frame.stageIndex = 1;
+            frame.layersDone = action == 2 ? 20 : 10;
+            frame.promptLength = 5;
+            frame.position = *rc::gen::inRange<std::uint32_t>(0, 40);
+            const auto count = *rc::gen::inRange<std::uint32_t>(0, 12);
+            for (std::uint32_t p = 0; p < count; ++p) {
+                frame.activations.push_back(1000 + frame.position + p);
+            }
+            const std::uint32_t before = received(stream);
+            const InputVerdict verdict = takeActivations(stream, frame);
+            RC_ASSERT((verdict == InputVerdict::Take) == (received(stream) > before));
+            if (action == 1 || action == 2) {
+                RC_ASSERT(verdict != InputVerdict::Take);
+            }
+            const auto input = beginStep(stream);
+            if (input) {
+                RC_ASSERT(input->position == applied.size());
+                applied.insert(applied.end(), input->values.begin(), input->values.end());
+                endStep(stream, 5, static_cast<std::uint32_t>(input->values.size()), input->values);
+            }
+        }
+        for (std::size_t position = 0; position < applied.size(); ++position) {
+            RC_ASSERT(applied[position] == 1000 + position);
+        }
+    });
+    BOOST_TEST(isRight);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_attempt_passes_on_what_the_next_stage_asks_for)
+{
+    StageStream stream;
+    openAttempt(stream, openFor(1, 0, 3));
+    endStep(stream, 4, 4, {10, 11, 12, 13});
+    BOOST_TEST(takeResults(stream).size() == 4u);
+    BOOST_TEST(takeResults(stream).empty());
+    BOOST_TEST(openAttempt(stream, openFor(2, 0, 3)));
+    BOOST_TEST(takeResults(stream).empty()); // nobody has asked yet
+    BOOST_TEST(resumeFrom(stream, 2));
+    BOOST_TEST((takeResults(stream) == std::vector<std::uint64_t>{12, 13}));
+    BOOST_TEST(!openAttempt(stream, openFor(2, 0, 3))); // not newer
+    BOOST_TEST(dropKept(stream) == 4 * sizeof(std::uint64_t));
+    BOOST_TEST(!resumeFrom(stream, 2));
+    BOOST_TEST(resumeFrom(stream, 4));
+}
+
+BOOST_AUTO_TEST_CASE(the_last_stage_notices_another_token_than_the_caller_has)
+{
+    StageStream stream;
+    OpenStage open = openFor(2, 2, 3);
+    open.tokens = {7, 8};
+    openAttempt(stream, open);
+    BOOST_TEST(noteToken(stream, {7, "a", FinishReason::None}, open.tokens));
+    BOOST_TEST(!noteToken(stream, {9, "b", FinishReason::None}, open.tokens));
+    BOOST_TEST(noteToken(stream, {8, "b", FinishReason::None}, open.tokens));
+    BOOST_TEST(noteToken(stream, {5, "c", FinishReason::Stop}, open.tokens));
+    BOOST_TEST(stream.isFinished);
+}
+
+// [SECTION] Chains
+
+BOOST_AUTO_TEST_CASE(a_chain_covers_all_layers_or_there_is_none)
+{
+    const bool isRight = rc::check([] {
+        std::vector<TargetView> views;
+        const auto count = *rc::gen::inRange(0, 14);
+        for (int i = 0; i < count; ++i) {
+            const auto begin = *rc::gen::inRange<std::uint32_t>(0, 3) * 10;
+            const auto length = (1 + *rc::gen::inRange<std::uint32_t>(0, 2)) * 10;
+            views.push_back(holder("t" + std::to_string(i), begin, std::min(begin + length, 30u), "dc-" + std::to_string(*rc::gen::inRange(0, 3))));
+            views.back().isSilent = *rc::gen::inRange(0, 5) == 0;
+        }
+        std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+        const auto list = pointers(views);
+        const auto chain = chooseChain(list, need, {"dc-0"}, start, random);
+        // Which layers can be reached from 0 by usable ranges?
+        std::set<std::uint32_t> reachable = {0};
+        for (int pass = 0; pass < 3; ++pass) {
+            for (const TargetView &view : views) {
+                if (!view.isSilent && reachable.count(view.last.layerBegin)) {
+                    reachable.insert(view.last.layerEnd);
+                }
+            }
+        }
+        RC_ASSERT(chain.empty() == !reachable.count(30));
+        std::uint32_t next = 0;
+        for (const std::size_t index : chain) {
+            RC_ASSERT(views[index].last.layerBegin == next);
+            RC_ASSERT(!views[index].isSilent);
+            next = views[index].last.layerEnd;
+        }
+        RC_ASSERT(chain.empty() || next == 30);
+    });
+    BOOST_TEST(isRight);
+}
+
+BOOST_AUTO_TEST_CASE(chains_stay_in_one_data_center_and_avoid_load)
+{
+    std::vector<TargetView> views;
+    for (const char *dataCenter : {"dc-0", "dc-1"}) {
+        for (std::uint32_t range = 0; range < 3; ++range) {
+            views.push_back(holder(std::string(dataCenter) + std::to_string(range), range * 10, range * 10 + 10, dataCenter));
+        }
+    }
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 20; ++i) {
+        for (const std::size_t index : chooseChain(pointers(views), need, {"dc-1"}, start, random)) {
+            BOOST_TEST(views[index].last.dataCenter == "dc-1");
+        }
+    }
+    views[4].last.streams = 50; // the middle range of dc-1 is busy: worth two hops
+    const auto chain = chooseChain(pointers(views), need, {"dc-1"}, start, random);
+    BOOST_TEST(views[chain[1]].last.dataCenter == "dc-0");
+}
+
+BOOST_AUTO_TEST_CASE(two_choices_spread_what_stale_reports_would_herd)
+{
+    // One of ten holders reports a slightly shorter queue. Taking the best would send every entry there; with two random
+    // choices it gets about a fifth.
+    std::vector<TargetView> views;
+    for (int i = 0; i < 10; ++i) {
+        views.push_back(holder("t" + std::to_string(i), 0, 30));
+        views.back().last.streams = i == 0 ? 9 : 10;
+    }
+    std::mt19937_64 random(7);
+    int first = 0;
+    for (int i = 0; i < 1000; ++i) {
+        first += chooseChain(pointers(views), need, {"dc-0"}, start, random)[0] == 0 ? 1 : 0;
+    }
+    BOOST_TEST(first > 100);
+    BOOST_TEST(first < 300);
+}
+
+BOOST_AUTO_TEST_CASE(failing_targets_are_ejected_but_never_the_majority)
+{
+    std::vector<TargetView> views;
+    for (int i = 0; i < 5; ++i) {
+        views.push_back(holder("t" + std::to_string(i), 0, 30));
+    }
+    std::size_t ejected = 0;
+    for (TargetView &view : views) {
+        noteTargetFailure(view, start, ejected, views.size());
+        ejected += start < view.ejectedUntil ? 1 : 0;
+    }
+    BOOST_TEST(ejected == 2u);
+    BOOST_TEST(!takesNewWork(views[0], start));
+    BOOST_TEST(takesNewWork(views[0], start + firstEjection));
+    noteTargetFailure(views[0], start + firstEjection, 1, views.size());
+    BOOST_TEST(!takesNewWork(views[0], start + firstEjection * 2)); // longer the second time
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_joins_ramps_up)
+{
+    TargetView fresh = holder("t", 0, 30);
+    fresh.joinedAt = start;
+    const TargetView old = holder("u", 0, 30);
+    BOOST_TEST(expectedMicros(fresh, start) > 4 * expectedMicros(old, start));
+    BOOST_TEST(expectedMicros(fresh, start + rampTime) == expectedMicros(old, start));
+}
+
+// [SECTION] Progress, budgets, circuits
+
+BOOST_AUTO_TEST_CASE(the_stage_at_fault_is_found)
+{
+    using Reports = std::vector<std::optional<StageProgress>>;
+    const StageProgress fine{10, 10, 10, true};
+    BOOST_TEST((blameStage(Reports{fine, fine, fine}) == std::nullopt));
+    BOOST_TEST((blameStage(Reports{fine, std::nullopt, fine}) == 1u));                  // does not answer
+    BOOST_TEST((blameStage(Reports{fine, fine, StageProgress{10, 9, 9, true}}) == 2u)); // engine hangs
+    BOOST_TEST((blameStage(Reports{fine, StageProgress{8, 8, 8, true}, fine}) == 1u));  // link lost a frame
+    BOOST_TEST((blameStage(Reports{StageProgress{0, 0, 0, false}, fine, fine}) == 0u)); // lost the stream
+    BOOST_TEST((blameStage(Reports{fine, StageProgress{10, 8, 8, true}, StageProgress{8, 8, 8, true}}) == 1u));
+}
+
+BOOST_AUTO_TEST_CASE(timeouts_follow_what_is_usual)
+{
+    TimeEstimate estimate;
+    BOOST_TEST((overdueAfter(estimate, milliseconds(100), milliseconds(5000)) == milliseconds(5000)));
+    for (int i = 0; i < 100; ++i) {
+        noteTime(estimate, 0.2);
+    }
+    BOOST_TEST((overdueAfter(estimate, milliseconds(100), milliseconds(5000)) < milliseconds(260)));
+    noteTime(estimate, 1.0);
+    BOOST_TEST((overdueAfter(estimate, milliseconds(100), milliseconds(5000)) > milliseconds(800)));
+}
+
+BOOST_AUTO_TEST_CASE(retries_stay_within_their_share)
+{
+    const bool isRight = rc::check([](std::uint16_t requests) {
+        RetryBudget budget;
+        std::uint32_t retries = 0;
+        for (std::uint32_t i = 0; i < requests; ++i) {
+            noteRequest(budget);
+            while (tryRetry(budget)) {
+                ++retries;
+            }
+        }
+        RC_ASSERT(retries <= budget.burst + budget.share * requests + 1);
+    });
+    BOOST_TEST(isRight);
+}
+
+BOOST_AUTO_TEST_CASE(a_circuit_opens_probes_and_closes)
+{
+    Circuit circuit;
+    TimePoint now = start;
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(tryPass(circuit, now));
+        BOOST_TEST(!noteFailure(circuit, now));
+    }
+    BOOST_TEST(noteFailure(circuit, now));
+    BOOST_TEST(!tryPass(circuit, now));
+    now += circuit.firstPause;
+    BOOST_TEST(tryPass(circuit, now));
+    BOOST_TEST(!tryPass(circuit, now)); // one probe at a time
+    BOOST_TEST(!noteFailure(circuit, now));
+    BOOST_TEST(!tryPass(circuit, now + circuit.firstPause)); // pauses double
+    now += circuit.firstPause * 2;
+    BOOST_TEST(tryPass(circuit, now));
+    BOOST_TEST(noteSuccess(circuit));
+    BOOST_TEST(tryPass(circuit, now));
+}
+
+BOOST_AUTO_TEST_CASE(a_rate_is_kept)
+{
+    RateBudget budget{10, 5, 0, {}};
+    int taken = 0;
+    for (int ms = 0; ms < 10000; ++ms) {
+        taken += tryTake(budget, start + milliseconds(ms)) ? 1 : 0;
+    }
+    BOOST_TEST(taken >= 100);
+    BOOST_TEST(taken <= 106);
+}
+
+BOOST_AUTO_TEST_CASE(rendezvous_moves_few_when_one_leaves)
+{
+    std::vector<std::string> entries;
+    for (int i = 0; i < 20; ++i) {
+        entries.push_back("entry-" + std::to_string(i));
+    }
+    std::vector<std::string> fewer(entries.begin(), entries.end() - 1);
+    std::map<std::size_t, int> loads;
+    int moved = 0;
+    for (int member = 0; member < 400; ++member) {
+        const std::string name = "target-" + std::to_string(member);
+        const auto before = pickPeers(name, entries, 6);
+        const auto after = pickPeers(name, fewer, 6);
+        BOOST_REQUIRE(before.size() == 6u);
+        const bool hadLast = std::find(before.begin(), before.end(), 19u) != before.end();
+        int differing = 0;
+        for (const std::size_t peer : after) {
+            differing += std::find(before.begin(), before.end(), peer) == before.end() ? 1 : 0;
+        }
+        BOOST_TEST(differing == (hadLast ? 1 : 0));
+        moved += differing;
+        for (const std::size_t peer : before) {
+            ++loads[peer];
+        }
+    }
+    BOOST_TEST(moved > 60);
+    BOOST_TEST(moved < 180); // 120 on average
+    for (const auto &[peer, load] : loads) {
+        BOOST_TEST(load > 70);
+        BOOST_TEST(load < 180); // 120 on average
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,249 @@
+// Frames between processes: bounds, versions, and strangers.
+#include "generated/messages.h"
+#include "wire/datagrams.h"
+#include "wire/link.h"
+
+#include <boost/test/unit_test.hpp>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <rapidcheck.h>
+
+#include <arpa/inet.h>
+
+using namespace Parsleytrail;
+
+namespace
+{
+
+OpenStage exampleOpen()
+{
+    OpenStage open;
+    open.request.value = "r1";
+    open.attempt.value = 3;
+    open.stageIndex = 1;
+    open.stages = {{{"t0"}, {5}, "127.0.0.1", 80, 0, 10}, {{"t1"}, {6}, "127.0.0.1", 81, 10, 20}};
+    open.prompt = "hello";
+    open.tokens = {1, 2, 3};
+    open.maxTokens = 9;
+    open.isSuspect = true;
+    return open;
+}
+
+std::string encoded(const OpenStage &open, std::uint16_t version)
+{
+    std::string bytes;
+    encode(open, version, bytes);
+    return bytes;
+}
+
+/// Two ends of a link on one loop.
+struct LinkFixture {
+    EventLoop loop;
+    int closed = 0;
+    std::vector<std::uint16_t> received;
+    LinkIdentity identity{{Role::Entry, "a", {1}}, currentWireVersion};
+    LinkHandlers handlers;
+    std::unique_ptr<LinkServer> server;
+    Address address;
+
+    LinkFixture()
+    {
+        handlers.onFrame = [this](const LinkPtr &, const Frame &frame) {
+            received.push_back(frame.message);
+            return frame.message == CloseStream::messageId;
+        };
+        handlers.onClosed = [this](const LinkPtr &, const Error &) {
+            ++closed;
+        };
+        server = std::make_unique<LinkServer>(loop, identity, handlers);
+        auto listening = server->listen({"127.0.0.1", 0});
+        BOOST_REQUIRE(listening);
+        address = *listening;
+    }
+
+    /// Connects without the protocol, sends bytes and returns whether the other end closed.
+    bool isRefused(const std::string &bytes)
+    {
+        bufferevent *bev = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bool isClosed = false;
+        const auto onEvent = [](bufferevent *, short events, void *arg) {
+            *static_cast<bool *>(arg) = *static_cast<bool *>(arg) || (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR));
+        };
+        bufferevent_setcb(bev, nullptr, nullptr, onEvent, &isClosed);
+        bufferevent_enable(bev, EV_READ | EV_WRITE);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+        bufferevent_socket_connect(bev, reinterpret_cast<sockaddr *>(&to), sizeof to);
+        bufferevent_write(bev, bytes.data(), bytes.size());
+        loop.runUntil(
+            [&] {
+                return isClosed;
+            },
+            milliseconds(20000));
+        bufferevent_free(bev);
+        return isClosed;
+    }
+};
+
+template<typename Message>
+std::string framed(const Message &message)
+{
+    std::string bytes;
+    appendFrame(message, currentWireVersion, bytes);
+    return bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wire)
+
+BOOST_AUTO_TEST_CASE(messages_come_back_as_they_went)
+{
+    OpenStage back;
+    BOOST_REQUIRE(decode(encoded(exampleOpen(), currentWireVersion), currentWireVersion, back));
+    BOOST_TEST(back.request.value == "r1");
+    BOOST_TEST(back.stages.size() == 2u);
+    BOOST_TEST(back.stages[1].port == 81);
+    BOOST_TEST(back.tokens.size() == 3u);
+    BOOST_TEST(back.isSuspect);
+}
+
+BOOST_AUTO_TEST_CASE(versions_read_each_other)
+{
+    // The field isSuspect came with version 2. An older writer leaves it at its default; an older reader does not see it.
+    OpenStage back;
+    BOOST_REQUIRE(decode(encoded(exampleOpen(), 1), 1, back));
+    BOOST_TEST(!back.isSuspect);
+    BOOST_TEST(back.maxTokens == 9u);
+    OpenStage older;
+    BOOST_REQUIRE(decode(encoded(exampleOpen(), 2), 1, older));
+    BOOST_TEST(!older.isSuspect);
+    BOOST_TEST(older.maxTokens == 9u);
+}
+
+BOOST_AUTO_TEST_CASE(cut_messages_are_refused)
+{
+    const std::string whole = encoded(exampleOpen(), currentWireVersion);
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        OpenStage back;
+        BOOST_TEST(!decode(std::string_view(whole).substr(0, size), currentWireVersion, back));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_neither_crash_nor_allocate_without_bound)
+{
+    const bool isRight = rc::check([](const std::string &bytes) {
+        OpenStage open;
+        ActivationFrame activations;
+        ConfigurationUpdate update;
+        Announcement announcement;
+        decode(bytes, currentWireVersion, open);
+        decode(bytes, currentWireVersion, activations);
+        decode(bytes, currentWireVersion, update);
+        decode(bytes, currentWireVersion, announcement);
+        RC_ASSERT(activations.activations.size() <= bytes.size());
+        RC_ASSERT(update.sections.size() <= bytes.size());
+    });
+    BOOST_TEST(isRight);
+}
+
+BOOST_AUTO_TEST_CASE(a_size_that_the_frame_can_not_hold_is_refused)
+{
+    // Four bytes say that four billion activations follow.
+    ActivationFrame frame;
+    frame.request.value = "r";
+    std::string bytes;
+    encode(frame, currentWireVersion, bytes);
+    for (std::size_t i = bytes.size() - 4; i < bytes.size(); ++i) {
+        bytes[i] = '\xff';
+    }
+    BOOST_TEST(!decode(bytes, currentWireVersion, frame));
+}
+
+BOOST_AUTO_TEST_CASE(strangers_and_malformed_frames_lose_their_link)
+{
+    LinkFixture fixture;
+    BOOST_TEST(fixture.isRefused("GET / HTTP/1.1\r\nHost: x\r\n\r\n"));
+    BOOST_TEST(fixture.isRefused(framed(CloseStream{}))); // no Hello first
+    std::string huge = framed(Hello{Role::Sidecar, "b", {1}});
+    huge += framed(CloseStream{});
+    huge[huge.size() - 1] = '\x7f';
+    std::string overLimit = framed(Hello{Role::Sidecar, "b", {1}});
+    const std::size_t at = overLimit.size();
+    overLimit += framed(CloseStream{});
+    overLimit[at + 11] = '\x7f'; // payload of 2 GB
+    BOOST_TEST(fixture.isRefused(overLimit));
+    BOOST_TEST(fixture.isRefused(framed(Hello{Role::Sidecar, "b", {1}}) + framed(CallCancel{}))); // a message that the handler refuses
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_never_speaks_is_given_up)
+{
+    // Something accepts the connection and says nothing: without a limit its streams would wait for ever.
+    LinkFixture fixture;
+    EventLoop &loop = fixture.loop;
+    const int silent = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &any.sin_addr);
+    BOOST_REQUIRE(bind(silent, reinterpret_cast<sockaddr *>(&any), sizeof any) == 0);
+    BOOST_REQUIRE(listen(silent, 4) == 0);
+    socklen_t size = sizeof any;
+    getsockname(silent, reinterpret_cast<sockaddr *>(&any), &size);
+    LinkPool pool(loop, fixture.identity, fixture.handlers);
+    pool.link({"127.0.0.1", ntohs(any.sin_port)})->send(CloseStream{});
+    BOOST_TEST(loop.runUntil(
+        [&] {
+            return fixture.closed == 1;
+        },
+        milliseconds(20000)));
+    close(silent);
+}
+
+BOOST_AUTO_TEST_CASE(links_carry_frames_in_order_after_hello)
+{
+    LinkFixture fixture;
+    LinkPool pool(fixture.loop, fixture.identity, fixture.handlers);
+    for (int i = 0; i < 100; ++i) {
+        pool.link(fixture.address)->send(CloseStream{{"r"}, {static_cast<std::uint32_t>(i)}});
+    }
+    BOOST_TEST(fixture.loop.runUntil(
+        [&] {
+            return fixture.received.size() == 100u;
+        },
+        milliseconds(20000)));
+    BOOST_TEST(pool.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(malformed_datagrams_are_counted_and_dropped)
+{
+    EventLoop loop;
+    int taken = 0;
+    Datagrams receiver(loop, currentWireVersion, [&taken](const Frame &, const Address &) {
+        ++taken;
+    });
+    Datagrams sender(loop, currentWireVersion, [](const Frame &, const Address &) {});
+    LinkFixture ports; // a free number
+    BOOST_REQUIRE(receiver.bind(ports.address));
+    BOOST_REQUIRE(sender.bind({"127.0.0.1", 0}));
+    const int raw = socket(AF_INET, SOCK_DGRAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(ports.address.port);
+    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+    for (const std::string &bytes : {std::string("x"), std::string(5000, 'y'), framed(CloseStream{}) + "z"}) {
+        sendto(raw, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&to), sizeof to);
+    }
+    close(raw);
+    sender.send(ports.address, LoadReport{});
+    BOOST_TEST(loop.runUntil(
+        [&] {
+            return taken == 1;
+        },
+        milliseconds(20000)));
+    BOOST_TEST(receiver.refused() == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
