--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -64,12 +64,20 @@
 /// cut and read the rest as another line. Returns false if the line is no "key = value".
 bool keepLongValue(Parse &parse, std::string_view line, std::string &shortened)
 {
-    const std::size_t equals = line.find('=');
+    const std::size_t equals = line.find_first_of("=:");
     if (equals == std::string_view::npos || equals > maxKeyBytes) {
         return false;
     }
-    const std::size_t comment = line.find(" ;", equals);
-    parse.longValue = std::string(trimmed(line.substr(equals + 1, comment == std::string_view::npos ? comment : comment - equals - 1)));
+    std::string_view value = line.substr(equals + 1);
+    const auto isComment = [&value](std::size_t at) {
+        return value[at] == ';' && (value[at - 1] == ' ' || value[at - 1] == '\t');
+    };
+    for (std::size_t at = 1; at < value.size(); ++at) {
+        if (isComment(at)) {
+            value = value.substr(0, at);
+        }
+    }
+    parse.longValue = std::string(trimmed(value));
     shortened = std::string(line.substr(0, equals + 1)) + " long";
     return true;
 }
@@ -124,7 +132,13 @@
             return 1;
         }
     }
-    current.entries.push_back({name, parse.longValue.value_or(value), parse.line});
+    std::string text = parse.longValue.value_or(value);
+    if (text.starts_with(';')) {
+        // Written "key =;": a value here, a comment once there is a blank before it, as in the canonical text.
+        addProblem(parse, current.name, name, "expected a value, or a comment with a blank before the ;");
+        return 1;
+    }
+    current.entries.push_back({name, std::move(text), parse.line});
     return 1;
 }
 
--- a/tests/configuration_test.cpp
+++ b/tests/configuration_test.cpp
@@ -79,6 +79,7 @@
     {"no equals sign here\n", "", ""},
     {"[service.x\n", "", ""},
     {"[service.x]\nkind = plain ; \x01\n", "", ""},
+    {"[model.m]\nlayers = 3\nversions =; v1\n", "model.m", "versions"},
 };
 
 } // namespace
