Served work: counters, report, and its command

Cause: the parent asks what each unit of spend bought; nothing counted it. Conclusion: loss on a crash is what was counted since the last write, at most report-flush while the store answers.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -310,6 +310,57 @@
     return ExitDone;
 }
 
+/// Accelerator seconds of all kinds, and by kind as text.
+static std::pair<double, std::string> acceleratorSeconds(const json &line)
+{
+    double sum = 0;
+    std::vector<std::string> parts;
+    for (const auto &[kind, seconds] : line["acceleratorSeconds"].items()) {
+        sum += seconds.get<double>();
+        parts.push_back(kind + "=" + std::to_string(seconds.get<double>()));
+    }
+    return {sum, joined(parts, " ")};
+}
+
+static void printReport(const json &body, bool isCsv)
+{
+    const char *separator = isCsv ? "," : "  ";
+    const auto cell = [isCsv](const std::string &text, int width) {
+        if (!isCsv) {
+            std::cout << std::left << std::setw(width) << text;
+        } else {
+            std::cout << text;
+        }
+    };
+    cell(body.value("by", ""), 24);
+    std::cout << separator << "answered" << separator << "refused" << separator << "unknown" << separator << "worth" << separator << "prompt_tokens"
+              << separator << "completion_tokens" << separator << "accelerator_seconds" << separator << "cost" << separator << "by_accelerator\n";
+    for (const json &line : body["lines"]) {
+        const auto [sum, kinds] = acceleratorSeconds(line);
+        cell(line.value("name", ""), 24);
+        std::cout << separator << line["answered"] << separator << line["refused"] << separator << line["unknown"] << separator << line["worth"] << separator
+                  << line["promptTokens"] << separator << line["completionTokens"] << separator << sum << separator << line["cost"] << separator << kinds
+                  << '\n';
+    }
+}
+
+int runReport(const CtlOptions &options)
+{
+    std::string path = "/operator/v1/report?by=" + options.by;
+    path += options.from.empty() ? "" : "&from=" + options.from;
+    path += options.to.empty() ? "" : "&to=" + options.to;
+    json body;
+    if (const int status = fetchJson(options, path, body); status != ExitDone) {
+        return status;
+    }
+    if (options.isJson) {
+        std::cout << body.dump(2) << '\n';
+    } else {
+        printReport(body, options.isCsv);
+    }
+    return ExitDone;
+}
+
 int runVersion(const CtlOptions &options)
 {
     if (options.isJson) {
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -18,6 +18,9 @@
 ABSL_FLAG(bool, wait, false, "apply: wait until in force everywhere");
 ABSL_FLAG(uint64_t, at_version, 0, "apply: version to replace; wait: version to wait for");
 ABSL_FLAG(int, timeout, 60, "wait: longest wait, seconds");
+ABSL_FLAG(std::string, from, "", "report: first hour or day, UTC");
+ABSL_FLAG(std::string, to, "", "report: hour or day after the last, UTC");
+ABSL_FLAG(std::string, by, "workspace", "report: workspace, service or model");
 ABSL_FLAG(int, limit, 20, "history: rows");
 
 using namespace Parsleytrail;
@@ -34,17 +37,20 @@
   history       accepted versions, newest first
   status        entries, targets, coverage, versions
   wait          wait until a version is in force everywhere; names the stragglers
+  report        the served work: requests, worth, tokens, accelerator time, cost
   dump          the state dump of the entry
   version       version of this program
 
 Options:
   --entry=HOST:PORT   operator port of an entry (default $PARSLEY_ENTRY, or 127.0.0.1:8081)
   --key_file=FILE     file with the operators' credential (default $PARSLEY_OPERATOR_KEY)
-  --format=text|json  how to print
+  --format=text|json  how to print; report also csv
   --dry_run           apply: check at the entry, change nothing
   --wait              apply: wait until in force everywhere
   --at_version=N      apply: replace exactly this version; wait: wait for this one
   --timeout=SECONDS   wait: longest wait (default 60)
+  --from, --to        report: hours or days, UTC, as 2026-12-03T14 or 2026-12-03 (default the last 24 hours)
+  --by=WHAT           report: workspace, service or model
   --limit=N           history: rows (default 20)
 
 Exit: 0 done, 1 refused, 2 wrong usage, 3 unreachable, 4 the outcome is not known.
@@ -53,6 +59,7 @@
   parsleyctl check studio.ini
   parsleyctl apply studio.ini --wait
   parsleyctl status --format=json
+  parsleyctl report --from=2026-12-01 --to=2026-12-02 --by=workspace --format=csv
 )";
 
 static std::string environment(const char *name, const char *fallback)
@@ -89,8 +96,9 @@
 {
     const std::map<std::string, std::function<int(const CtlOptions &, const std::string &)>> withFile = {
         {"check", runCheck}, {"apply", runApply}, {"diff", runDiff}};
-    const std::map<std::string, std::function<int(const CtlOptions &)>> alone = {{"show", runShow}, {"history", runHistory}, {"status", runStatus},
-                                                                                 {"wait", runWait}, {"dump", runDump},       {"version", runVersion}};
+    const std::map<std::string, std::function<int(const CtlOptions &)>> alone = {{"show", runShow},      {"history", runHistory}, {"status", runStatus},
+                                                                                 {"wait", runWait},      {"dump", runDump},       {"report", runReport},
+                                                                                 {"version", runVersion}};
     const bool hasCommand = !words.empty();
     if (hasCommand && words.size() == 2 && withFile.count(words[0])) {
         return withFile.at(words[0])(options, words[1]);
@@ -113,12 +121,17 @@
     }
     const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
     const std::string format = absl::GetFlag(FLAGS_format);
-    if (format != "text" && format != "json") {
-        std::cerr << "--format: expected text or json\n";
+    const bool isReport = rest.size() == 2 && std::string(rest[1]) == "report";
+    if (format != "text" && format != "json" && !(format == "csv" && isReport)) {
+        std::cerr << "--format: expected text or json, or csv for report\n";
         return ExitUsage;
     }
     CtlOptions options;
     options.isJson = format == "json";
+    options.isCsv = format == "csv";
+    options.from = absl::GetFlag(FLAGS_from);
+    options.to = absl::GetFlag(FLAGS_to);
+    options.by = absl::GetFlag(FLAGS_by);
     options.isDryRun = absl::GetFlag(FLAGS_dry_run);
     options.waits = absl::GetFlag(FLAGS_wait);
     options.version = absl::GetFlag(FLAGS_at_version);
--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -234,6 +234,7 @@
     ExchangePtr exchange;      ///< the caller
     RequestId id;              ///< stream
     WorkspaceName workspace;   ///< of the caller
+    WorkOwner owner;           ///< whose work it is
     std::string shownId;       ///< X-Request-Id
     std::int64_t created = 0;  ///< seconds since 1970
     std::string text;          ///< of a whole answer
@@ -367,6 +368,7 @@
     EntryContext &context;
     Streams &streams;
     const InputGuard &guard;
+    WorkKeeper &work;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
     std::size_t openInAll = 0;
     std::uint64_t &answered;
@@ -424,17 +426,24 @@
         if (answer->exchange->buffered() > maxCallerBacklogBytes) {
             ++abandoned;
             streams.cancel(answer->id);
+            work.countUnknown(answer->owner, answer->tokens);
             answer->exchange->abort();
             release(*answer);
         }
     };
     handlers.onEnd = [this, answer](FinishReason reason, std::uint32_t promptTokens) {
         ++answered;
+        work.countAnswered(answer->owner, promptTokens, answer->tokens);
         release(*answer);
         answer->request.isStream ? endStream(*answer, reason, promptTokens) : replyWhole(*answer, reason, promptTokens);
     };
     handlers.onFail = [this, answer](const StreamFailure &failure) {
         ++failed;
+        if (failure.outcome == Outcome::NotRun) {
+            work.countRefused(answer->owner);
+        } else {
+            work.countUnknown(answer->owner, answer->tokens);
+        }
         release(*answer);
         const CompletionError error = toError(failure);
         if (!answer->exchange->isBegun()) {
@@ -447,8 +456,10 @@
     answer->exchange->onClosed([this, answer] {
         ++abandoned;
         streams.cancel(answer->id);
+        work.countUnknown(answer->owner, answer->tokens);
         release(*answer);
     });
+    work.expectUsage(answer->id, answer->owner);
     streams.open(std::move(request), std::move(handlers));
 }
 
@@ -467,12 +478,14 @@
     stream.need = {{service.model}, service.version, service.adapter, static_cast<std::uint32_t>(model.layers)};
     stream.prompt = request.prompt;
     stream.maxTokens = request.maxTokens > 0 ? request.maxTokens : static_cast<std::uint32_t>(service.maxTokens);
+    const WorkOwner owner{caller.workspace, {request.service}, {service.model}, caller.section->worth};
     stream.fingerprint = hash64(request.prompt, hash64(request.service));
     stream.service.value = request.service;
     stream.workspace = caller.workspace;
     stream.allowedInputs = service.allowInputs;
     if (guard.judge(stream.fingerprint, service.allowInputs) == InputStanding::Convicted) {
         ++refused;
+        work.countRefused(owner);
         return replyCompletionError(exchange, convictedError(Outcome::NotRun), caller.shownId);
     }
     stream.deadline = service.deadline;
@@ -482,6 +495,7 @@
     answer->exchange = exchange;
     answer->id = caller.request;
     answer->workspace = caller.workspace;
+    answer->owner = owner;
     answer->shownId = caller.shownId;
     answer->created = std::chrono::duration_cast<std::chrono::seconds>(context.clock.wallTime().time_since_epoch()).count();
     start(answer, std::move(stream));
@@ -489,10 +503,11 @@
 
 // [SECTION] Completions
 
-Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard)
+Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard, WorkKeeper &work)
     : d(new Private{context,
                     streams,
                     guard,
+                    work,
                     {},
                     0,
                     context.metrics.counter("parsley_completions_answered", "Completions answered in full."),
--- a/src/entry/completions.h
+++ b/src/entry/completions.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry/streams.h"
+#include "entry/work_keeper.h"
 #include "http/server.h"
 
 namespace Parsleytrail
@@ -22,7 +23,7 @@
 class Completions
 {
 public:
-    Completions(EntryContext &context, Streams &streams, const InputGuard &guard);
+    Completions(EntryContext &context, Streams &streams, const InputGuard &guard, WorkKeeper &work);
     ~Completions();
 
     /// POST /v1/chat/completions
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -36,6 +36,7 @@
     std::unique_ptr<Targets> targets;
     std::unique_ptr<InputGuard> guard;
     std::unique_ptr<Streams> streams;
+    std::unique_ptr<WorkKeeper> work;
     std::unique_ptr<KeyedCalls> keys;
     std::unique_ptr<ServiceCalls> calls;
     std::unique_ptr<Completions> completions;
@@ -66,6 +67,7 @@
     void takeDatagram(const Frame &frame, const Address &from);
     void takePeer(const EntryAnnouncement &announcement);
     void configurationChanged();
+    std::string acceleratorOf(const TargetId &target) const;
 
     void tick();
     void announce();
@@ -150,9 +152,10 @@
     targets = std::make_unique<Targets>(*context);
     guard = std::make_unique<InputGuard>(*context);
     streams = std::make_unique<Streams>(*context, *targets, *guard);
+    work = std::make_unique<WorkKeeper>(*context, *store);
     keys = std::make_unique<KeyedCalls>(*context, *store);
-    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys);
-    completions = std::make_unique<Completions>(*context, *streams, *guard);
+    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *work);
+    completions = std::make_unique<Completions>(*context, *streams, *guard, *work);
     keeper = std::make_unique<ConfigurationKeeper>(*context, *store);
     datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
         takeDatagram(frame, from);
@@ -214,6 +217,7 @@
     };
     operators = std::make_unique<OperatorServer>(loop, settings.operatorKeyDigest, views);
     addConfigurationPaths(*operators, *keeper);
+    addReportPath(*operators, *work, *keeper);
 }
 
 Result<void> Entry::Private::listen()
@@ -254,6 +258,14 @@
         guard->take(notice);
         return true;
     }
+    case StageUsage::messageId: {
+        StageUsage usage;
+        if (!decodeFrame(frame, usage)) {
+            return false;
+        }
+        work->takeUsage(usage, acceleratorOf(usage.target));
+        return true;
+    }
     case TokenFrame::messageId:
     case StageFailed::messageId:
     case StageReport::messageId:
@@ -325,6 +337,14 @@
     announce();
 }
 
+std::string Entry::Private::acceleratorOf(const TargetId &target) const
+{
+    const TargetView *view = targets->find(target);
+    const auto &classes = keeper->inForce().targetClasses;
+    const auto targetClass = view ? classes.find(view->last.targetClass) : classes.end();
+    return targetClass == classes.end() ? "unknown" : targetClass->second.accelerator;
+}
+
 // [SECTION] Ticks
 
 void Entry::Private::tick()
@@ -335,6 +355,7 @@
     calls->tick();
     keys->flush();
     guard->prune();
+    work->tick();
 }
 
 std::vector<Address> Entry::Private::sidecarAddresses() const
@@ -374,7 +395,10 @@
 void Entry::Private::checkDrained()
 {
     const bool isLate = clock.now() - drainStartedAt >= settings.drainTimeout;
-    const bool isIdle = open() == 0 && keys->unwritten() == 0;
+    const bool isIdle = open() == 0 && keys->unwritten() == 0 && !work->isDirty();
+    if (open() == 0 && work->isDirty()) {
+        work->flush([](StoreStatus) {});
+    }
     if (!isIdle && !isLate) {
         return;
     }
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -3,6 +3,7 @@
 #include "base/text.h"
 #include "http/problem.h"
 
+#include <absl/time/time.h>
 #include <nlohmann/json.hpp>
 
 namespace Parsleytrail
@@ -140,6 +141,78 @@
     });
 }
 
+// [SECTION] Report
+
+/// Reads an hour such as 2026-12-03T14 (UTC), or a day; `fallback` if there is none. Returns false if it is malformed.
+static bool readHour(const HttpRequest &request, const char *name, std::int64_t fallback, std::int64_t &hour)
+{
+    const std::optional<std::string> text = queryParameter(request.query, name);
+    hour = fallback;
+    if (!text) {
+        return true;
+    }
+    absl::Time time;
+    std::string error;
+    const std::string format = text->find('T') == std::string::npos ? "%Y-%m-%d" : "%Y-%m-%dT%H";
+    if (!absl::ParseTime(format, *text, &time, &error)) {
+        return false;
+    }
+    hour = absl::ToUnixSeconds(time) / 3600;
+    return true;
+}
+
+static json toJson(const WorkLine &line)
+{
+    json seconds = json::object();
+    for (const auto &[kind, micros] : line.counters.acceleratorMicros) {
+        seconds[kind] = static_cast<double>(micros) / 1e6;
+    }
+    return {{"name", line.name},
+            {"answered", line.counters.answered},
+            {"refused", line.counters.refused},
+            {"unknown", line.counters.unknown},
+            {"worth", line.counters.worth},
+            {"promptTokens", line.counters.promptTokens},
+            {"completionTokens", line.counters.completionTokens},
+            {"acceleratorSeconds", seconds},
+            {"cost", line.cost}};
+}
+
+static void serveReport(const ExchangePtr &exchange, WorkKeeper &work, const ConfigurationKeeper &keeper)
+{
+    const HttpRequest &request = exchange->request();
+    std::int64_t from = 0;
+    std::int64_t to = 0;
+    WorkGrouping grouping = WorkGrouping::Workspace;
+    const std::string by = queryParameter(request.query, "by").value_or("workspace");
+    const bool isRead = readHour(request, "from", work.currentHour() - 23, from) && readHour(request, "to", work.currentHour() + 1, to) && from < to;
+    if (!isRead || !parseGrouping(by, grouping)) {
+        return replyProblem(exchange,
+                            {400, "", "expected from and to as 2026-12-03 or 2026-12-03T14 (UTC, to after from), and by as workspace, service or model"});
+    }
+    work.read(from, to, [exchange, grouping, by, from, to, &keeper](StoreStatus status, const WorkLedger &ledger) {
+        if (status != StoreStatus::Ok) {
+            return replyProblem(exchange, {503, "", "the platform's store is away", Outcome::NotRun, 2});
+        }
+        std::map<std::string, double> prices;
+        for (const auto &[name, targetClass] : keeper.inForce().targetClasses) {
+            prices[targetClass.accelerator] = targetClass.pricePerHour;
+        }
+        json lines = json::array();
+        for (const WorkLine &line : summarize(ledger, grouping, prices)) {
+            lines.push_back(toJson(line));
+        }
+        exchange->reply(200, jsonHeaders, json{{"by", by}, {"fromHour", from}, {"toHour", to}, {"lines", lines}}.dump());
+    });
+}
+
+void addReportPath(OperatorServer &server, WorkKeeper &work, const ConfigurationKeeper &keeper)
+{
+    server.addPath("/report", [&work, &keeper](const ExchangePtr &exchange) {
+        serveReport(exchange, work, keeper);
+    });
+}
+
 // [SECTION] Status
 
 static json describeTarget(const TargetView &view)
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -27,6 +27,7 @@
     RequestId id;                 ///< unique in the system
     ExchangePtr exchange;         ///< the caller
     Caller caller;                ///< section is not valid any more
+    WorkOwner owner;              ///< whose work it is
     ServiceName service;          ///< called
     std::string path;             ///< below the service, with query
     milliseconds deadline{0};     ///< longest time
@@ -62,6 +63,7 @@
     EntryContext &context;
     Targets &targets;
     KeyedCalls &keys;
+    WorkKeeper &work;
     std::unordered_map<RequestId, OpenCall> calls;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
     std::uint64_t &answered;
@@ -209,6 +211,7 @@
     leaveTarget(call);
     endKey(call, problem.outcome == Outcome::NotRun ? KeyEnd::NotRun : KeyEnd::Unknown);
     ++(problem.outcome == Outcome::NotRun ? notRun : unknown);
+    problem.outcome == Outcome::NotRun ? work.countRefused(call.owner) : work.countUnknown(call.owner, 0);
     logEvent(Event::CallFailed,
              {{"request", request.value}, {"service", call.service.value}, {"outcome", outcomeText(problem.outcome)}, {"reason", problem.detail}});
     if (context.history.isOn()) {
@@ -246,6 +249,7 @@
         const ExchangePtr exchange = call->exchange;
         endKey(*call, KeyEnd::Unknown);
         ++unknown;
+        work.countUnknown(call->owner, 0);
         erase(request);
         return exchange->abort();
     }
@@ -263,6 +267,7 @@
 {
     OpenCall &call = *find(request);
     ++answered;
+    work.countAnswered(call.owner, 0, 0);
     times.record(std::chrono::duration<double>(context.clock.now() - call.openedAt).count());
     targets.noteSuccess(call.target);
     leaveTarget(call);
@@ -288,6 +293,7 @@
     }
     cancelAtTarget(*call);
     leaveTarget(*call);
+    work.countUnknown(call->owner, 0);
     erase(request);
 }
 
@@ -398,10 +404,11 @@
 
 // [SECTION] ServiceCalls
 
-ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys)
+ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, WorkKeeper &work)
     : d(new Private{context,
                     targets,
                     keys,
+                    work,
                     {},
                     {},
                     context.metrics.counter("parsley_calls_answered", "Calls to plain services answered in full."),
@@ -435,6 +442,7 @@
     call.exchange = exchange;
     call.caller = caller;
     call.caller.section = nullptr;
+    call.owner = {caller.workspace, {service}, {}, caller.section->worth};
     call.service.value = service;
     call.path = request.query.empty() ? path : path + "?" + request.query;
     call.deadline = section->second.deadline;
--- a/src/entry/service_calls.h
+++ b/src/entry/service_calls.h
@@ -15,7 +15,7 @@
 class ServiceCalls
 {
 public:
-    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys);
+    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, WorkKeeper &work);
     ~ServiceCalls();
 
     /// `service` is the name in the path; `path` is what follows it, with a leading slash.
--- /dev/null
+++ b/src/entry/work_keeper.cpp
@@ -0,0 +1,277 @@
+// Index: [SECTION] Rows, [SECTION] Counting, [SECTION] Writing, [SECTION] Reading
+#include "entry/work_keeper.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <unordered_map>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+constexpr const char *workTable = "served-work";
+
+// [SECTION] Rows
+
+namespace
+{
+
+/// A closed stream whose stages have not all told what they spent.
+struct OpenUsage {
+    WorkOwner owner;
+    TimePoint until{};
+};
+
+/// Where a row stands in the store.
+struct WrittenRow {
+    std::uint64_t version = 0; ///< of the row; 0: not there
+    std::string value;         ///< as last written with success
+};
+
+json encodeCounters(const WorkKey &key, const WorkCounters &counters)
+{
+    return {{"workspace", key.workspace.value},
+            {"service", key.service.value},
+            {"model", key.model.value},
+            {"answered", counters.answered},
+            {"refused", counters.refused},
+            {"unknown", counters.unknown},
+            {"worth", counters.worth},
+            {"promptTokens", counters.promptTokens},
+            {"completionTokens", counters.completionTokens},
+            {"acceleratorMicros", counters.acceleratorMicros}};
+}
+
+void decodeCounters(const json &item, std::int64_t hour, WorkLedger &ledger)
+{
+    WorkKey key;
+    key.hour = hour;
+    key.workspace.value = item.value("workspace", "");
+    key.service.value = item.value("service", "");
+    key.model.value = item.value("model", "");
+    WorkCounters counters;
+    counters.answered = item.value("answered", std::uint64_t{0});
+    counters.refused = item.value("refused", std::uint64_t{0});
+    counters.unknown = item.value("unknown", std::uint64_t{0});
+    counters.worth = item.value("worth", 0.0);
+    counters.promptTokens = item.value("promptTokens", std::uint64_t{0});
+    counters.completionTokens = item.value("completionTokens", std::uint64_t{0});
+    counters.acceleratorMicros = item.value("acceleratorMicros", std::map<std::string, std::uint64_t>());
+    addTo(ledger[key], counters);
+}
+
+std::string hourText(std::int64_t hour)
+{
+    return absl::StrCat(absl::Dec(hour, absl::kZeroPad10));
+}
+
+} // namespace
+
+struct WorkKeeper::Private {
+    EntryContext &context;
+    Store &store;
+    WorkLedger ledger;
+    std::unordered_map<RequestId, OpenUsage> usages;
+    std::map<std::string, WrittenRow> written; ///< by row key
+    bool isDirty = false;
+    bool isWriting = false;
+    TimePoint nextFlush{};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    WorkCounters &countersOf(const WorkOwner &owner);
+    std::int64_t hour() const;
+    std::map<std::string, std::string> rows() const;
+    void settle(const std::vector<RowWrite> &writes, StoreStatus status);
+    void readVersion(const std::string &key);
+    void forgetOldHours();
+};
+
+// [SECTION] Counting
+
+std::int64_t WorkKeeper::Private::hour() const
+{
+    return std::chrono::duration_cast<std::chrono::hours>(context.clock.wallTime().time_since_epoch()).count();
+}
+
+WorkCounters &WorkKeeper::Private::countersOf(const WorkOwner &owner)
+{
+    isDirty = true;
+    return ledger[{hour(), owner.workspace, owner.service, owner.model}];
+}
+
+WorkKeeper::WorkKeeper(EntryContext &context, Store &store)
+    : d(new Private{context, store})
+{
+}
+
+WorkKeeper::~WorkKeeper() = default;
+
+void WorkKeeper::countAnswered(const WorkOwner &owner, std::uint64_t promptTokens, std::uint64_t completionTokens)
+{
+    WorkCounters &counters = d->countersOf(owner);
+    ++counters.answered;
+    counters.worth += owner.worth;
+    counters.promptTokens += promptTokens;
+    counters.completionTokens += completionTokens;
+}
+
+void WorkKeeper::countRefused(const WorkOwner &owner)
+{
+    ++d->countersOf(owner).refused;
+}
+
+void WorkKeeper::countUnknown(const WorkOwner &owner, std::uint64_t completionTokens)
+{
+    WorkCounters &counters = d->countersOf(owner);
+    ++counters.unknown;
+    counters.completionTokens += completionTokens;
+}
+
+void WorkKeeper::expectUsage(const RequestId &request, const WorkOwner &owner)
+{
+    d->usages[request] = {owner, d->context.clock.now() + usageLife};
+}
+
+void WorkKeeper::takeUsage(const StageUsage &usage, const std::string &accelerator)
+{
+    const auto it = d->usages.find(usage.request);
+    if (it != d->usages.end()) {
+        d->countersOf(it->second.owner).acceleratorMicros[accelerator] += usage.acceleratorMicros;
+    }
+}
+
+// [SECTION] Writing
+
+/// The ledger as rows. Keys of one hour keep their order and so, as the ledger only grows within an hour, few move to
+/// another part; a part that lost a key to another one is written in the same transaction.
+std::map<std::string, std::string> WorkKeeper::Private::rows() const
+{
+    std::map<std::int64_t, std::vector<json>> byHour;
+    for (const auto &[key, counters] : ledger) {
+        byHour[key.hour].push_back(encodeCounters(key, counters));
+    }
+    std::map<std::string, std::string> rows;
+    for (const auto &[hour, items] : byHour) {
+        for (std::size_t first = 0; first < items.size(); first += keysInRow) {
+            const auto end = items.begin() + static_cast<std::ptrdiff_t>(std::min(first + keysInRow, items.size()));
+            const std::string key =
+                hourText(hour) + "/" + context.settings.id + "/" + std::to_string(context.incarnation.value) + "/" + std::to_string(first / keysInRow);
+            rows[key] = json(std::vector<json>(items.begin() + static_cast<std::ptrdiff_t>(first), end)).dump();
+        }
+    }
+    return rows;
+}
+
+void WorkKeeper::Private::readVersion(const std::string &key)
+{
+    store.readRow(workTable, key, [this, key, weak = std::weak_ptr(alive)](StoreStatus status, const Row &row) {
+        if (!weak.expired() && (status == StoreStatus::Ok || status == StoreStatus::NotFound)) {
+            written[key] = {row.version, row.value};
+        }
+    });
+}
+
+void WorkKeeper::Private::settle(const std::vector<RowWrite> &writes, StoreStatus status)
+{
+    isWriting = false;
+    for (const RowWrite &write : writes) {
+        if (status == StoreStatus::Ok) {
+            written[write.key] = {write.ifVersion + 1, write.value};
+        } else if (status != StoreStatus::Unavailable) {
+            // Only this start of this entry writes the row: a conflict means that a write whose answer was lost took
+            // effect. The values are absolute, so that the next write with the right version sets everything straight.
+            readVersion(write.key);
+        }
+    }
+    if (status != StoreStatus::Ok) {
+        isDirty = true;
+    }
+}
+
+void WorkKeeper::Private::forgetOldHours()
+{
+    const std::int64_t now = hour();
+    std::erase_if(ledger, [now](const auto &item) {
+        return item.first.hour < now - 1;
+    });
+    const std::string oldest = hourText(now - 1);
+    std::erase_if(written, [&oldest](const auto &item) {
+        return item.first < oldest;
+    });
+}
+
+void WorkKeeper::flush(std::function<void(StoreStatus)> done)
+{
+    std::vector<RowWrite> writes;
+    for (auto &[key, value] : d->rows()) {
+        const WrittenRow &row = d->written[key];
+        if (row.value != value) {
+            writes.push_back({workTable, key, value, row.version});
+        }
+    }
+    if (d->isWriting || writes.empty()) {
+        return done(d->isWriting ? StoreStatus::Unavailable : StoreStatus::Ok);
+    }
+    d->isWriting = true;
+    d->isDirty = false;
+    d->store.transact(writes, [this, writes, done = std::move(done), weak = std::weak_ptr(d->alive)](StoreStatus status) {
+        if (!weak.expired()) {
+            d->settle(writes, status);
+        }
+        done(status);
+    });
+}
+
+void WorkKeeper::tick()
+{
+    const TimePoint now = d->context.clock.now();
+    std::erase_if(d->usages, [now](const auto &item) {
+        return now >= item.second.until;
+    });
+    if (now < d->nextFlush) {
+        return;
+    }
+    d->nextFlush = now + d->context.settings.reportFlush;
+    if (!d->isDirty) {
+        d->forgetOldHours();
+        return;
+    }
+    flush([](StoreStatus) {});
+}
+
+bool WorkKeeper::isDirty() const
+{
+    return d->isDirty || d->isWriting;
+}
+
+std::int64_t WorkKeeper::currentHour() const
+{
+    return d->hour();
+}
+
+// [SECTION] Reading
+
+void WorkKeeper::read(std::int64_t fromHour, std::int64_t toHour, std::function<void(StoreStatus, const WorkLedger &)> done)
+{
+    // This entry's own work first, so that its report holds everything that it has counted.
+    flush([this, fromHour, toHour, done = std::move(done), weak = std::weak_ptr(d->alive)](StoreStatus) {
+        if (weak.expired()) {
+            return;
+        }
+        d->store.scanRows(workTable, hourText(fromHour), hourText(toHour), maxReportRows, [done](StoreStatus status, const std::vector<Row> &rows) {
+            WorkLedger ledger;
+            for (const Row &row : rows) {
+                const json items = json::parse(row.value, nullptr, false);
+                const std::int64_t hour = std::strtoll(row.key.c_str(), nullptr, 10);
+                for (const json &item : items.is_array() ? items : json::array()) {
+                    decodeCounters(item, hour, ledger);
+                }
+            }
+            done(status, ledger);
+        });
+    });
+}
+
+} // namespace Parsleytrail
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -87,7 +87,7 @@
     std::uint64_t crashId();
     void scheduleSend();
     void send();
-    void finish(std::vector<PendingItem> &items, const HttpResult &result);
+    void finish(std::vector<PendingItem> &items, const HttpResult &result, double seconds);
     void takeReport(const HttpResult &result);
 };
 
@@ -161,12 +161,12 @@
             stepHistogram.record(seconds);
         }
         scheduleSend();
-        finish(*shared, result);
+        finish(*shared, result, seconds);
     });
     scheduleSend();
 }
 
-void EngineClient::Private::finish(std::vector<PendingItem> &items, const HttpResult &result)
+void EngineClient::Private::finish(std::vector<PendingItem> &items, const HttpResult &result, double seconds)
 {
     StepResult lost;
     std::vector<StepResult> results;
@@ -190,7 +190,9 @@
     if (results.size() != items.size()) {
         results.assign(items.size(), lost);
     }
+    const auto share = static_cast<std::uint64_t>(seconds * 1e6 / static_cast<double>(std::max<std::size_t>(items.size(), 1)));
     for (std::size_t i = 0; i < items.size(); ++i) {
+        results[i].acceleratorMicros = share;
         items[i].done(results[i]);
     }
 }
--- a/src/sidecar/engine_client.h
+++ b/src/sidecar/engine_client.h
@@ -38,6 +38,7 @@
     std::uint32_t positions = 0;            ///< positions applied
     std::vector<std::uint64_t> activations; ///< unless this is the last stage
     std::vector<KeptToken> tokens;          ///< at the last stage
+    std::uint64_t acceleratorMicros = 0;    ///< time of the step, shared evenly among its streams
     std::uint64_t crash = 0;                ///< Lost: the same for all that were in flight at this death; 0: it was not handed over
 };
 
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -28,6 +28,7 @@
     std::uint64_t generation = 0;         ///< tells apart streams that reuse a request's id here
     bool isAtEngine = false;              ///< the engine knows the stream
     bool isSuspect = false;               ///< the next step runs alone
+    std::uint64_t acceleratorMicros = 0;  ///< spent on it here
     std::uint32_t askedFrom = UINT32_MAX; ///< position of the last ResumeFrom sent in this attempt
 };
 
@@ -320,6 +321,7 @@
         return erase(request);
     }
     stream->isSuspect = false;
+    stream->acceleratorMicros += result.acceleratorMicros;
     const std::size_t keptBefore = stream->core.kept.size();
     endStep(stream->core, result.promptLength, result.positions, result.activations);
     positionsApplied += result.positions;
@@ -476,6 +478,9 @@
     early.erase(frame.request);
     const HeldStream *stream = find(frame.request);
     if (stream && frame.attempt >= stream->core.attempt) {
+        if (stream->entry) {
+            stream->entry->send(StageUsage{frame.request, {context.settings.id}, stream->acceleratorMicros});
+        }
         erase(frame.request);
     }
 }
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -244,7 +244,10 @@
 
     def die(system):
         address = next(address for name, _, address in system.targets if name == "engine-0")
-        system.request("POST", f"http://{address}/engine/v1/faults", {"die": True})
+        try:
+            system.request("POST", f"http://{address}/engine/v1/faults", {"die": True})
+        except OSError:
+            pass  # it dies before it has answered
 
     def data_center(system):
         for index, (name, kind, _) in enumerate(system.targets):
