A stop does not wait for a store that is away; large files split

Before: killed after 30 s (-9). Conclusion: what is lost is safe to lose: keys read unknown, the report falls short.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -3,6 +3,11 @@
 namespace Parsleytrail
 {
 
+Incarnation incarnationNow(const Clock &clock)
+{
+    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(clock.wallTime().time_since_epoch()).count())};
+}
+
 TimePoint SystemClock::now() const
 {
     return std::chrono::steady_clock::now();
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,6 +1,8 @@
 // Time, passed in so that tests decide what time it is.
 #pragma once
 
+#include "base/ids.h"
+
 #include <chrono>
 
 namespace Parsleytrail
@@ -22,6 +24,9 @@
     virtual WallTime wallTime() const = 0;
 };
 
+/// Incarnation of a process that starts now.
+Incarnation incarnationNow(const Clock &clock);
+
 /// The machine's clocks.
 class SystemClock final : public Clock
 {
--- /dev/null
+++ b/src/entry/completion_answer.cpp
@@ -0,0 +1,129 @@
+#include "entry/completion_answer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Parsleytrail
+{
+
+using nlohmann::json;
+
+/// Text of tokens is whatever the engine gives; a broken UTF-8 sequence must not break the answer.
+static std::string toText(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+static json envelope(const CompletionAnswer &answer, bool isChunk)
+{
+    const bool isChat = answer.request.kind == CompletionKind::Chat;
+    return {{"id", (isChat ? "chatcmpl-" : "cmpl-") + answer.id.value},
+            {"object", !isChat   ? "text_completion"
+                       : isChunk ? "chat.completion.chunk"
+                                 : "chat.completion"},
+            {"created", answer.created},
+            {"model", answer.request.service}};
+}
+
+static json usageOf(const CompletionAnswer &answer, std::uint32_t promptTokens)
+{
+    return {{"prompt_tokens", promptTokens}, {"completion_tokens", answer.tokens}, {"total_tokens", promptTokens + answer.tokens}};
+}
+
+static const char *finishText(FinishReason reason)
+{
+    return reason == FinishReason::Stop ? "stop" : "length";
+}
+
+static std::string sse(const json &event)
+{
+    return "data: " + toText(event) + "\n\n";
+}
+
+/// One event of a stream; `finish` is null but in the last.
+static json chunk(const CompletionAnswer &answer, const json &delta, const json &finish)
+{
+    json event = envelope(answer, true);
+    if (answer.request.kind == CompletionKind::Chat) {
+        event["choices"] = json::array({{{"index", 0}, {"delta", delta}, {"logprobs", nullptr}, {"finish_reason", finish}}});
+    } else {
+        event["choices"] = json::array({{{"index", 0}, {"text", delta.value("content", "")}, {"logprobs", nullptr}, {"finish_reason", finish}}});
+    }
+    if (answer.request.withUsage) {
+        event["usage"] = nullptr;
+    }
+    return event;
+}
+
+static HttpHeaders answerHeaders(const CompletionAnswer &answer)
+{
+    if (answer.request.isStream) {
+        return {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", answer.shownId}};
+    }
+    return {{"Content-Type", "application/json"}, {"X-Request-Id", answer.shownId}};
+}
+
+void pushToken(CompletionAnswer &answer, const TokenFrame &token)
+{
+    ++answer.tokens;
+    if (!answer.request.isStream) {
+        answer.text += token.text;
+        return;
+    }
+    if (!answer.exchange->isBegun()) {
+        answer.exchange->beginStream(200, answerHeaders(answer));
+        if (answer.request.kind == CompletionKind::Chat) {
+            answer.exchange->pushChunk(sse(chunk(answer, {{"role", "assistant"}, {"content", ""}}, nullptr)));
+        }
+    }
+    if (!token.text.empty()) {
+        answer.exchange->pushChunk(sse(chunk(answer, {{"content", token.text}}, nullptr)));
+    }
+}
+
+static void endEvents(CompletionAnswer &answer, FinishReason reason, std::uint32_t promptTokens)
+{
+    answer.exchange->pushChunk(sse(chunk(answer, json::object(), finishText(reason))));
+    if (answer.request.withUsage) {
+        json event = envelope(answer, true);
+        event["choices"] = json::array();
+        event["usage"] = usageOf(answer, promptTokens);
+        answer.exchange->pushChunk(sse(event));
+    }
+    answer.exchange->pushChunk("data: [DONE]\n\n");
+    answer.exchange->endStream();
+}
+
+static void replyWhole(CompletionAnswer &answer, FinishReason reason, std::uint32_t promptTokens)
+{
+    json body = envelope(answer, false);
+    json choice = {{"index", 0}, {"logprobs", nullptr}, {"finish_reason", finishText(reason)}};
+    if (answer.request.kind == CompletionKind::Chat) {
+        choice["message"] = {{"role", "assistant"}, {"content", answer.text}};
+    } else {
+        choice["text"] = answer.text;
+    }
+    body["choices"] = json::array({choice});
+    body["usage"] = usageOf(answer, promptTokens);
+    answer.exchange->reply(200, answerHeaders(answer), toText(body));
+}
+
+void endAnswer(CompletionAnswer &answer, FinishReason reason, std::uint32_t promptTokens)
+{
+    if (answer.request.isStream) {
+        endEvents(answer, reason, promptTokens);
+    } else {
+        replyWhole(answer, reason, promptTokens);
+    }
+}
+
+void failAnswer(CompletionAnswer &answer, const CompletionError &error)
+{
+    if (!answer.exchange->isBegun()) {
+        return replyCompletionError(answer.exchange, error, answer.shownId);
+    }
+    // The status is out already: the error goes into the stream, and the missing [DONE] says that it is not whole.
+    answer.exchange->pushChunk("data: " + completionErrorBody(error) + "\n\n");
+    answer.exchange->endStream();
+}
+
+} // namespace Parsleytrail
--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -1,8 +1,8 @@
-// Index: [SECTION] Errors, [SECTION] Reading requests, [SECTION] Writing answers, [SECTION] Running, [SECTION] Completions
+// Index: [SECTION] Errors, [SECTION] Running, [SECTION] Completions
 #include "entry/completions.h"
 
 #include "base/digest.h"
-#include "http/problem.h"
+#include "entry/completion_answer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,329 +15,20 @@
 
 constexpr std::size_t maxCallerBacklogBytes = 1 << 20; ///< a caller that reads more slowly than this loses its stream
 
-/// Text of tokens is whatever the engine gives; a broken UTF-8 sequence must not break the answer.
-static std::string toText(const json &value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-// [SECTION] Errors
-
-static json errorObject(const CompletionError &error)
-{
-    const json param = error.param.empty() ? json() : json(error.param);
-    const json code = error.code.empty() ? json() : json(error.code);
-    return {{"error", {{"message", error.message}, {"type", error.type}, {"param", param}, {"code", code}}}, {"parsley-outcome", outcomeText(error.outcome)}};
-}
-
-std::string completionErrorBody(const CompletionError &error)
-{
-    return toText(errorObject(error));
-}
-
-void replyCompletionError(const ExchangePtr &exchange, const CompletionError &error, const std::string &requestId)
-{
-    HttpHeaders headers = {{"Content-Type", "application/json"}, {"parsley-outcome", outcomeText(error.outcome)}, {"X-Request-Id", requestId}};
-    if (error.retryAfterSeconds > 0) {
-        headers.push_back({"Retry-After", std::to_string(error.retryAfterSeconds)});
-    }
-    exchange->reply(error.status, headers, completionErrorBody(error));
-}
-
-// [SECTION] Reading requests
-
 namespace
 {
 
-enum class CompletionKind { Chat, Text };
-
-/// A checked request.
-struct CompletionRequest {
-    CompletionKind kind = CompletionKind::Chat;
-    std::string service;         ///< "model" in the request
-    std::string prompt;          ///< text for the engines
-    bool isStream = false;       ///< server-sent events
-    bool withUsage = false;      ///< a last event with usage
-    std::uint32_t maxTokens = 0; ///< 0: the service's own
-};
-
-/// Fields that change nothing here: sampling of a deterministic model, and labels.
-bool isIgnorable(const std::string &field)
-{
-    static const std::set<std::string> fields = {"temperature", "top_p", "presence_penalty", "frequency_penalty", "seed", "user", "metadata", "store"};
-    return fields.count(field) > 0;
-}
-
-bool refuse(CompletionError &error, const std::string &param, const std::string &message, const char *code = "")
-{
-    error.message = message;
-    error.param = param;
-    error.code = code;
-    return false;
-}
-
-/// Content of a message: a string, or a list of text parts.
-bool readContent(const json &content, std::string &text, CompletionError &error)
-{
-    if (content.is_string()) {
-        text = content.get<std::string>();
-        return true;
-    }
-    if (!content.is_array()) {
-        return refuse(error, "messages", "expected content to be a string or a list of text parts");
-    }
-    for (const json &part : content) {
-        if (!part.is_object() || part.value("type", json()) != "text" || !part.contains("text") || !part["text"].is_string()) {
-            return refuse(error, "messages", "expected parts of type text; other kinds of content are not supported");
-        }
-        text += part["text"].get<std::string>();
-    }
-    return true;
-}
-
-bool readMessages(const json &messages, CompletionRequest &request, CompletionError &error)
-{
-    static const std::set<std::string> roles = {"system", "developer", "user", "assistant"};
-    if (!messages.is_array() || messages.empty()) {
-        return refuse(error, "messages", "expected a list with at least one message");
-    }
-    for (const json &message : messages) {
-        const bool hasRole = message.is_object() && message.contains("role") && message["role"].is_string();
-        if (!hasRole || !roles.count(message["role"].get<std::string>()) || !message.contains("content")) {
-            return refuse(error, "messages", "expected each message to have a role (system, developer, user, assistant) and content");
-        }
-        std::string text;
-        if (!readContent(message["content"], text, error)) {
-            return false;
-        }
-        request.prompt += message["role"].get<std::string>() + ": " + text + "\n";
-    }
-    return true;
-}
-
-bool readPrompt(const json &prompt, CompletionRequest &request, CompletionError &error)
-{
-    const bool isListOfOne = prompt.is_array() && prompt.size() == 1 && prompt[0].is_string();
-    if (!prompt.is_string() && !isListOfOne) {
-        return refuse(error, "prompt", "expected one string; several prompts and lists of tokens are not supported");
-    }
-    request.prompt = prompt.is_string() ? prompt.get<std::string>() : prompt[0].get<std::string>();
-    return true;
-}
-
-bool readCount(const json &value, const std::string &field, std::uint32_t &out, CompletionError &error)
-{
-    constexpr std::uint64_t most = 65536;
-    const bool isCount = value.is_number_unsigned() && value.get<std::uint64_t>() >= 1 && value.get<std::uint64_t>() <= most;
-    if (!isCount) {
-        return refuse(error, field, "expected a whole number from 1 to 65536");
-    }
-    out = value.get<std::uint32_t>();
-    return true;
-}
-
-bool readStreamOptions(const json &options, CompletionRequest &request, CompletionError &error)
-{
-    if (!options.is_object()) {
-        return refuse(error, "stream_options", "expected an object");
-    }
-    for (const auto &[name, value] : options.items()) {
-        if (name != "include_usage" || !value.is_boolean()) {
-            return refuse(error, "stream_options", "expected include_usage with true or false");
-        }
-        request.withUsage = value.get<bool>();
-    }
-    return true;
-}
-
-/// Fields that are accepted only with the value that asks for nothing.
-bool readNeutral(const std::string &field, const json &value, CompletionError &error)
-{
-    if (field == "n" || field == "best_of") {
-        return value == 1 || refuse(error, field, "only one choice is supported", "unsupported_value");
-    }
-    const bool isOff = value.is_null() || value == false || (value.is_array() && value.empty()) || (value.is_object() && value.empty());
-    if (field == "response_format") {
-        return isOff || value.value("type", json()) == "text" || refuse(error, field, "only the response format text is supported", "unsupported_value");
-    }
-    static const std::set<std::string> known = {"stop",          "logprobs",   "top_logprobs", "tools",           "tool_choice", "functions",
-                                                "function_call", "logit_bias", "audio",        "modalities",      "prediction",  "parallel_tool_calls",
-                                                "echo",          "suffix",     "service_tier", "reasoning_effort"};
-    if (!known.count(field)) {
-        return refuse(error, field, "unrecognized request argument: " + field, "unknown_parameter");
-    }
-    return isOff || refuse(error, field, field + " is not supported", "unsupported_parameter");
-}
-
-bool readField(const std::string &field, const json &value, CompletionRequest &request, CompletionError &error)
-{
-    const bool isChat = request.kind == CompletionKind::Chat;
-    if (field == "model") {
-        if (!value.is_string()) {
-            return refuse(error, field, "expected the name of a model");
-        }
-        request.service = value.get<std::string>();
-        return true;
-    }
-    if (field == "stream") {
-        if (!value.is_boolean() && !value.is_null()) {
-            return refuse(error, field, "expected true or false");
-        }
-        request.isStream = value == true;
-        return true;
-    }
-    if (value.is_null() || isIgnorable(field)) {
-        return true;
-    }
-    if (field == "messages" && isChat) {
-        return readMessages(value, request, error);
-    }
-    if (field == "prompt" && !isChat) {
-        return readPrompt(value, request, error);
-    }
-    if (field == "max_tokens" || (field == "max_completion_tokens" && isChat)) {
-        return readCount(value, field, request.maxTokens, error);
-    }
-    if (field == "stream_options") {
-        return readStreamOptions(value, request, error);
-    }
-    return readNeutral(field, value, error);
-}
-
-bool readRequest(const std::string &body, CompletionKind kind, CompletionRequest &request, CompletionError &error)
-{
-    const json object = json::parse(body, nullptr, false);
-    if (!object.is_object()) {
-        return refuse(error, "", "expected a JSON object as the body");
-    }
-    request.kind = kind;
-    for (const auto &[field, value] : object.items()) {
-        if (!readField(field, value, request, error)) {
-            return false;
-        }
-    }
-    if (request.service.empty()) {
-        return refuse(error, "model", "expected the name of a model");
-    }
-    const char *input = kind == CompletionKind::Chat ? "messages" : "prompt";
-    if (!object.contains(input) || object[input].is_null()) {
-        return refuse(error, input, std::string("expected the field ") + input);
-    }
-    return true;
-}
-
-// [SECTION] Writing answers
-
-/// An answer being made.
-struct OpenAnswer {
-    CompletionRequest request;      ///< as checked
-    ExchangePtr exchange;           ///< the caller
-    RequestId id;                   ///< stream
+/// An answer with what running it needs.
+struct OpenAnswer : CompletionAnswer {
     WorkspaceName workspace;        ///< of the caller
     WorkOwner owner;                ///< whose work it is
     double firstTokenTarget = 0;    ///< seconds
     double betweenTokensTarget = 0; ///< seconds; 0: none
-    TimePoint startedAt{};          ///< admitted
+    TimePoint startedAt{};          ///< admitted; zero while waiting
     TimePoint lastTokenAt{};        ///< zero before the first
-    std::string shownId;            ///< X-Request-Id
-    std::int64_t created = 0;       ///< seconds since 1970
-    std::string text;               ///< of a whole answer
-    std::uint32_t tokens = 0;       ///< generated so far
 };
 
-json envelope(const OpenAnswer &answer, bool isChunk)
-{
-    const bool isChat = answer.request.kind == CompletionKind::Chat;
-    return {{"id", (isChat ? "chatcmpl-" : "cmpl-") + answer.id.value},
-            {"object", !isChat   ? "text_completion"
-                       : isChunk ? "chat.completion.chunk"
-                                 : "chat.completion"},
-            {"created", answer.created},
-            {"model", answer.request.service}};
-}
-
-json usageOf(const OpenAnswer &answer, std::uint32_t promptTokens)
-{
-    return {{"prompt_tokens", promptTokens}, {"completion_tokens", answer.tokens}, {"total_tokens", promptTokens + answer.tokens}};
-}
-
-const char *finishText(FinishReason reason)
-{
-    return reason == FinishReason::Stop ? "stop" : "length";
-}
-
-std::string sse(const json &event)
-{
-    return "data: " + toText(event) + "\n\n";
-}
-
-/// One event of a stream; `finish` is null but in the last.
-json chunk(const OpenAnswer &answer, const json &delta, const json &finish)
-{
-    json event = envelope(answer, true);
-    if (answer.request.kind == CompletionKind::Chat) {
-        event["choices"] = json::array({{{"index", 0}, {"delta", delta}, {"logprobs", nullptr}, {"finish_reason", finish}}});
-    } else {
-        event["choices"] = json::array({{{"index", 0}, {"text", delta.value("content", "")}, {"logprobs", nullptr}, {"finish_reason", finish}}});
-    }
-    if (answer.request.withUsage) {
-        event["usage"] = nullptr;
-    }
-    return event;
-}
-
-HttpHeaders answerHeaders(const OpenAnswer &answer)
-{
-    if (answer.request.isStream) {
-        return {{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}, {"X-Request-Id", answer.shownId}};
-    }
-    return {{"Content-Type", "application/json"}, {"X-Request-Id", answer.shownId}};
-}
-
-void pushToken(OpenAnswer &answer, const TokenFrame &token)
-{
-    ++answer.tokens;
-    if (!answer.request.isStream) {
-        answer.text += token.text;
-        return;
-    }
-    if (!answer.exchange->isBegun()) {
-        answer.exchange->beginStream(200, answerHeaders(answer));
-        if (answer.request.kind == CompletionKind::Chat) {
-            answer.exchange->pushChunk(sse(chunk(answer, {{"role", "assistant"}, {"content", ""}}, nullptr)));
-        }
-    }
-    if (!token.text.empty()) {
-        answer.exchange->pushChunk(sse(chunk(answer, {{"content", token.text}}, nullptr)));
-    }
-}
-
-void endStream(OpenAnswer &answer, FinishReason reason, std::uint32_t promptTokens)
-{
-    answer.exchange->pushChunk(sse(chunk(answer, json::object(), finishText(reason))));
-    if (answer.request.withUsage) {
-        json event = envelope(answer, true);
-        event["choices"] = json::array();
-        event["usage"] = usageOf(answer, promptTokens);
-        answer.exchange->pushChunk(sse(event));
-    }
-    answer.exchange->pushChunk("data: [DONE]\n\n");
-    answer.exchange->endStream();
-}
-
-void replyWhole(OpenAnswer &answer, FinishReason reason, std::uint32_t promptTokens)
-{
-    json body = envelope(answer, false);
-    json choice = {{"index", 0}, {"logprobs", nullptr}, {"finish_reason", finishText(reason)}};
-    if (answer.request.kind == CompletionKind::Chat) {
-        choice["message"] = {{"role", "assistant"}, {"content", answer.text}};
-    } else {
-        choice["text"] = answer.text;
-    }
-    body["choices"] = json::array({choice});
-    body["usage"] = usageOf(answer, promptTokens);
-    answer.exchange->reply(200, answerHeaders(answer), toText(body));
-}
+// [SECTION] Errors
 
 CompletionError convictedError(Outcome outcome)
 {
@@ -456,20 +147,13 @@
     handlers.onEnd = [this, answer](FinishReason reason, std::uint32_t promptTokens) {
         ++answered;
         work.countAnswered(answer->owner, promptTokens, answer->tokens);
-        answer->request.isStream ? endStream(*answer, reason, promptTokens) : replyWhole(*answer, reason, promptTokens);
+        endAnswer(*answer, reason, promptTokens);
         release(*answer);
     };
     handlers.onFail = [this, answer](const StreamFailure &failure) {
         ++failed;
         failure.outcome == Outcome::NotRun ? work.countRefused(answer->owner) : work.countUnknown(answer->owner, answer->tokens);
-        const CompletionError error = toError(failure);
-        if (answer->exchange->isBegun()) {
-            // The status is out already: the error goes into the stream, and the missing [DONE] says that it is not whole.
-            answer->exchange->pushChunk(sse(errorObject(error)));
-            answer->exchange->endStream();
-        } else {
-            replyCompletionError(answer->exchange, error, answer->shownId);
-        }
+        failAnswer(*answer, toError(failure));
         release(*answer);
     };
     return handlers;
@@ -520,7 +204,7 @@
 {
     CompletionRequest request;
     CompletionError error;
-    if (!readRequest(exchange->request().body, kind, request, error) || !admit(request, caller, configuration, error)) {
+    if (!readCompletionRequest(exchange->request().body, kind, request, error) || !admit(request, caller, configuration, error)) {
         ++refused;
         return replyCompletionError(exchange, error, caller.shownId);
     }
@@ -603,7 +287,7 @@
         }
     }
     const json body = {{"object", "list"}, {"data", list}};
-    exchange->reply(200, {{"Content-Type", "application/json"}, {"X-Request-Id", caller.shownId}}, toText(body));
+    exchange->reply(200, {{"Content-Type", "application/json"}, {"X-Request-Id", caller.shownId}}, body.dump());
 }
 
 std::size_t Completions::open(const WorkspaceName &workspace) const
--- a/src/entry/completions.h
+++ b/src/entry/completions.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "entry/admission_queue.h"
+#include "entry/completion_request.h"
 #include "entry/streams.h"
 #include "entry/work_keeper.h"
 #include "http/server.h"
@@ -47,19 +48,4 @@
     std::unique_ptr<Private> d;
 };
 
-/// A refusal in the completion protocol's error object.
-struct CompletionError {
-    int status = 400;                           ///< HTTP status
-    std::string message;                        ///< for people
-    std::string type = "invalid_request_error"; ///< class of error
-    std::string param;                          ///< field at fault, or empty
-    std::string code;                           ///< for programs, or empty
-    Outcome outcome = Outcome::NotRun;          ///< what is known of the request
-    int retryAfterSeconds = 0;                  ///< 0: no Retry-After
-};
-/// The error object.
-std::string completionErrorBody(const CompletionError &error);
-/// Answers with the error object.
-void replyCompletionError(const ExchangePtr &exchange, const CompletionError &error, const std::string &requestId);
-
 } // namespace Parsleytrail
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -14,14 +14,10 @@
 
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds sidecarAnnounceInterval{10000}; ///< between announcements of an entry to its sidecars
+constexpr milliseconds longestLastWrite{5000};         ///< wait for the store at the end of a drain
 
 // [SECTION] Parts
 
-static Incarnation startOf(const Clock &clock)
-{
-    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(clock.wallTime().time_since_epoch()).count())};
-}
-
 struct Entry::Private {
     EntrySettings settings;
     EventLoop &loop;
@@ -54,6 +50,7 @@
     Timer pollTimer;
     Timer drainTimer;
     TimePoint drainStartedAt{};
+    TimePoint idleSince{}; ///< no request open, and something to write; zero otherwise
     TimePoint nextSidecarAnnounce{};
     std::function<void()> drained;
 
@@ -85,7 +82,7 @@
     : settings(std::move(entrySettings))
     , loop(eventLoop)
     , clock(systemClock)
-    , incarnation(startOf(systemClock))
+    , incarnation(incarnationNow(systemClock))
     , history(systemClock, settings.id, incarnation.value)
     , client(eventLoop)
     , tickTimer(eventLoop,
@@ -234,38 +231,22 @@
 bool Entry::Private::takeFrame(const LinkPtr &link, const Frame &frame)
 {
     switch (frame.message) {
-    case ConfigurationUpdate::messageId: {
-        ConfigurationUpdate update;
-        if (!decodeFrame(frame, update)) {
-            return false;
-        }
-        keeper->take(link, update);
-        return true;
-    }
-    case ConfigurationWanted::messageId: {
-        ConfigurationWanted wanted;
-        if (!decodeFrame(frame, wanted)) {
-            return false;
-        }
-        keeper->sendTo(link, wanted.version, link->peer().role == Role::Entry ? SectionScope::All : SectionScope::WithoutWorkspaces);
-        return true;
-    }
-    case SuspicionNotice::messageId: {
-        SuspicionNotice notice;
-        if (!decodeFrame(frame, notice)) {
-            return false;
-        }
-        guard->take(notice);
-        return true;
-    }
-    case StageUsage::messageId: {
-        StageUsage usage;
-        if (!decodeFrame(frame, usage)) {
-            return false;
-        }
-        work->takeUsage(usage, acceleratorOf(usage.target));
-        return true;
-    }
+    case ConfigurationUpdate::messageId:
+        return decodeAnd<ConfigurationUpdate>(frame, [&](const ConfigurationUpdate &update) {
+            keeper->take(link, update);
+        });
+    case ConfigurationWanted::messageId:
+        return decodeAnd<ConfigurationWanted>(frame, [&](const ConfigurationWanted &wanted) {
+            keeper->sendTo(link, wanted.version, link->peer().role == Role::Entry ? SectionScope::All : SectionScope::WithoutWorkspaces);
+        });
+    case SuspicionNotice::messageId:
+        return decodeAnd<SuspicionNotice>(frame, [&](const SuspicionNotice &notice) {
+            guard->take(notice);
+        });
+    case StageUsage::messageId:
+        return decodeAnd<StageUsage>(frame, [&](const StageUsage &usage) {
+            work->takeUsage(usage, acceleratorOf(usage.target));
+        });
     case TokenFrame::messageId:
     case StageFailed::messageId:
     case StageReport::messageId:
@@ -395,17 +376,28 @@
 
 void Entry::Private::checkDrained()
 {
-    const bool isLate = clock.now() - drainStartedAt >= settings.drainTimeout;
-    const bool isIdle = open() == 0 && keys->unwritten() == 0 && !work->isDirty();
-    if (open() == 0 && work->isDirty()) {
-        work->flush([](StoreStatus) {});
-    }
-    if (!isIdle && !isLate) {
+    const TimePoint now = clock.now();
+    const bool isLate = now - drainStartedAt >= settings.drainTimeout;
+    if (open() > 0 && !isLate) {
+        idleSince = {};
         return;
     }
-    if (!isIdle) {
+    if (open() > 0) {
         logEvent(Event::DrainTimeout, {{"open", std::to_string(open())}});
     }
+    const bool hasUnwritten = keys->unwritten() > 0 || work->isDirty();
+    if (hasUnwritten && idleSince == TimePoint{}) {
+        idleSince = now;
+    }
+    // The store may be away for hours, and the platform wants its instance back. What is lost is safe to lose: a key's end
+    // that is not written reads as `unknown`, and counters fall short by what was not flushed.
+    if (hasUnwritten && now - idleSince < longestLastWrite) {
+        work->flush([](StoreStatus) {});
+        return;
+    }
+    if (hasUnwritten) {
+        logEvent(Event::EndsUnwritten, {{"keys", std::to_string(keys->unwritten())}, {"work", work->isDirty() ? "yes" : "no"}});
+    }
     drainTimer.stop();
     history.record("drained", {{"open", std::uint64_t{open()}}});
     drained();
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -460,30 +460,18 @@
 bool ServiceCalls::takeFrame(const Frame &frame)
 {
     switch (frame.message) {
-    case CallHead::messageId: {
-        CallHead message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeHead(message);
-        return true;
-    }
-    case CallBody::messageId: {
-        CallBody message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeBody(message);
-        return true;
-    }
-    case CallFailed::messageId: {
-        CallFailed message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->failed(message.request, message.outcome, {message.step, "", message.text});
-        return true;
-    }
+    case CallHead::messageId:
+        return decodeAnd<CallHead>(frame, [&](const CallHead &message) {
+            d->takeHead(message);
+        });
+    case CallBody::messageId:
+        return decodeAnd<CallBody>(frame, [&](const CallBody &message) {
+            d->takeBody(message);
+        });
+    case CallFailed::messageId:
+        return decodeAnd<CallFailed>(frame, [&](const CallFailed &message) {
+            d->failed(message.request, message.outcome, {message.step, "", message.text});
+        });
     default:
         return false;
     }
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -492,30 +492,18 @@
 bool Streams::takeFrame(const Frame &frame)
 {
     switch (frame.message) {
-    case TokenFrame::messageId: {
-        TokenFrame message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeToken(message);
-        return true;
-    }
-    case StageFailed::messageId: {
-        StageFailed message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeFailure(message);
-        return true;
-    }
-    case StageReport::messageId: {
-        StageReport message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeReport(message);
-        return true;
-    }
+    case TokenFrame::messageId:
+        return decodeAnd<TokenFrame>(frame, [&](const TokenFrame &message) {
+            d->takeToken(message);
+        });
+    case StageFailed::messageId:
+        return decodeAnd<StageFailed>(frame, [&](const StageFailed &message) {
+            d->takeFailure(message);
+        });
+    case StageReport::messageId:
+        return decodeAnd<StageReport>(frame, [&](const StageReport &message) {
+            d->takeReport(message);
+        });
     default:
         return false;
     }
--- a/src/sidecar/calls.cpp
+++ b/src/sidecar/calls.cpp
@@ -277,38 +277,22 @@
 bool Calls::takeFrame(const LinkPtr &link, const Frame &frame)
 {
     switch (frame.message) {
-    case CallRequest::messageId: {
-        CallRequest message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->begin(link, message);
-        return true;
-    }
-    case CallBody::messageId: {
-        CallBody message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->takeBody(message);
-        return true;
-    }
-    case CallCredit::messageId: {
-        CallCredit message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->credit(message);
-        return true;
-    }
-    case CallCancel::messageId: {
-        CallCancel message;
-        if (!decodeFrame(frame, message)) {
-            return false;
-        }
-        d->cancel(message.request);
-        return true;
-    }
+    case CallRequest::messageId:
+        return decodeAnd<CallRequest>(frame, [&](const CallRequest &message) {
+            d->begin(link, message);
+        });
+    case CallBody::messageId:
+        return decodeAnd<CallBody>(frame, [&](const CallBody &message) {
+            d->takeBody(message);
+        });
+    case CallCredit::messageId:
+        return decodeAnd<CallCredit>(frame, [&](const CallCredit &message) {
+            d->credit(message);
+        });
+    case CallCancel::messageId:
+        return decodeAnd<CallCancel>(frame, [&](const CallCancel &message) {
+            d->cancel(message.request);
+        });
     default:
         return false;
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -18,11 +18,6 @@
 
 // [SECTION] Parts
 
-static Incarnation startOf(const Clock &clock)
-{
-    return {static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(clock.wallTime().time_since_epoch()).count())};
-}
-
 struct Sidecar::Private {
     SidecarSettings settings;
     EventLoop &loop;
@@ -73,7 +68,7 @@
     : settings(std::move(sidecarSettings))
     , loop(eventLoop)
     , clock(systemClock)
-    , incarnation(startOf(systemClock))
+    , incarnation(incarnationNow(systemClock))
     , isApplication(settings.kind == "application")
     , history(systemClock, settings.id, incarnation.value)
     , client(eventLoop)
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -508,18 +508,6 @@
 
 Stages::~Stages() = default;
 
-/// Decodes a frame and hands it on; false if it is malformed.
-template<typename Message, typename Take>
-static bool decodeAnd(const Frame &frame, Take &&take)
-{
-    Message message;
-    if (!decodeFrame(frame, message)) {
-        return false;
-    }
-    take(message);
-    return true;
-}
-
 bool Stages::takeFrame(const LinkPtr &link, const Frame &frame)
 {
     switch (frame.message) {
--- /dev/null
+++ b/src/wire/daemon.cpp
@@ -0,0 +1,80 @@
+#include "wire/daemon.h"
+
+#include "base/log.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <csignal>
+#include <cstring>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "settings file (INI)");
+ABSL_FLAG(bool, check, false, "only check the settings file");
+
+namespace Parsleytrail
+{
+
+enum DaemonStatus { DaemonStopped = 0, DaemonNotStarted = 1, DaemonWrongUsage = 2 };
+
+static bool wantsHelp(int argc, char **argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        if (std::strcmp(argv[i], "--help") == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool readSettings(const DaemonProgram &program)
+{
+    if (!loadSettings(absl::GetFlag(FLAGS_settings), program.sectionName, program.readSettings)) {
+        return false;
+    }
+    if (!setLogLevel(program.logLevel())) {
+        std::cerr << "log-level: expected debug, info, warning or error\n";
+        return false;
+    }
+    return true;
+}
+
+int runDaemon(int argc, char **argv, const DaemonProgram &program)
+{
+    if (wantsHelp(argc, argv)) {
+        std::cout << program.helpText;
+        return DaemonStopped;
+    }
+    absl::ParseCommandLine(argc, argv);
+    if (!readSettings(program)) {
+        return DaemonWrongUsage;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        return DaemonStopped;
+    }
+    EventLoop loop;
+    const SystemClock clock;
+    Error error;
+    const bool isStarted = runCatching(
+        [&] {
+            return program.start(loop, clock);
+        },
+        error);
+    if (isStarted) {
+        const auto stop = [&] {
+            program.drain([&loop] {
+                loop.stop();
+            });
+        };
+        loop.onSignal(SIGTERM, stop);
+        loop.onSignal(SIGINT, stop);
+        loop.run();
+        logEvent(Event::ProcessStopped);
+    } else {
+        std::cerr << error.toString() << '\n';
+    }
+    program.destroy();
+    return isStarted ? DaemonStopped : DaemonNotStarted;
+}
+
+} // namespace Parsleytrail
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -58,4 +58,16 @@
     return decode(frame.payload, frame.version, message);
 }
 
+/// Decodes a frame's payload as `Message` and hands it to `take`; false if it is malformed.
+template<typename Message, typename Take>
+bool decodeAnd(const Frame &frame, Take &&take)
+{
+    Message message;
+    if (!decodeFrame(frame, message)) {
+        return false;
+    }
+    take(message);
+    return true;
+}
+
 } // namespace Parsleytrail
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -52,6 +52,29 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_stops_while_the_store_is_away)
+{
+    // Counters of served work wait to be written when the store goes away and the entry is asked to stop. It tries for a
+    // few seconds and ends, long before drain-timeout (an hour here): the platform wants its instance back.
+    ClusterOptions options;
+    options.tuneEntry = [](EntrySettings &entry) {
+        entry.drainTimeout = std::chrono::hours(1);
+    };
+    Cluster cluster(options);
+    const AnswerPtr answer = cluster.ask("drums", 4);
+    cluster.wait("the answer", [&] {
+        return answer->isOver;
+    });
+    cluster.platform.faults().isSilent = true;
+    bool isFinished = false;
+    cluster.entries[0]->drain([&] {
+        isFinished = true;
+    });
+    cluster.wait("the entry to end", [&] {
+        return isFinished;
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_sidecar_stops)
 {
     // SIGTERM reaches the sidecar of a stage in the middle of an answer. The stream runs on there to its end; new streams
