--- a/src/entry/admission_queue.cpp
+++ b/src/entry/admission_queue.cpp
@@ -86,7 +86,9 @@
         ++d->refused;
         return refuse();
     }
-    const auto expected = std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(lane.firstToken.meanSeconds));
+    // By the mean alone, half of those that start last would have their first token too late.
+    const milliseconds expected =
+        lane.firstToken.meanSeconds > 0 ? overdueAfter(lane.firstToken, milliseconds(0), request.firstTokenDeadline) : milliseconds(0);
     request.waiting.arrivedAt = d->context.clock.now();
     request.waiting.startBy = request.waiting.arrivedAt + std::max<microseconds>(request.firstTokenDeadline - expected, milliseconds(1));
     lane.waiting.push_back(std::move(request.waiting));
