Streams closed before their first step leave nothing at engines; stages left behind are told

Cause: a cancel overtakes a step that waits in the sidecar or at the engine; the step then began the stream anew there, for good. A stage that was replaced heard of it only at the end of the answer and held its KV cache so long. Change: a step that comes back for an unknown stream is followed by another cancel; a new attempt closes the stages that the chain has left. One loop replaces stages by link and by target; the command line and the stand-ins' programs lost copies.

--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -65,7 +65,7 @@
 bool keepLongValue(Parse &parse, std::string_view line, std::string &shortened)
 {
     const std::size_t equals = line.find_first_of("=:");
-    if (equals == std::string_view::npos || equals > maxKeyBytes) {
+    if (equals > maxKeyBytes) { // also when there is none
         return false;
     }
     std::string_view value = line.substr(equals + 1);
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -167,17 +167,27 @@
     return list;
 }
 
+/// A checked file beside what is in force.
+struct FileInForce {
+    std::string text;      ///< of the file
+    Configuration wanted;  ///< the file
+    Configuration inForce; ///< at the entry
+};
+
+/// Returns ExitDone or the exit status of what is wrong.
+static int loadBeside(const CtlOptions &options, const std::string &file, FileInForce &both)
+{
+    const int status = loadChecked(options, file, both.text, both.wanted);
+    return status != ExitDone ? status : fetchInForce(options, both.inForce);
+}
+
 int runDiff(const CtlOptions &options, const std::string &file)
 {
-    std::string text;
-    Configuration wanted;
-    Configuration inForce;
-    if (const int status = loadChecked(options, file, text, wanted); status != ExitDone) {
-        return status;
-    }
-    if (const int status = fetchInForce(options, inForce); status != ExitDone) {
+    FileInForce both;
+    if (const int status = loadBeside(options, file, both); status != ExitDone) {
         return status;
     }
+    const auto &[text, wanted, inForce] = both;
     const json changes = differencesToJson(compareConfigurations(inForce, wanted));
     if (options.isJson) {
         std::cout << json{{"version", inForce.version.value}, {"changes", changes}}.dump(2) << '\n';
@@ -190,15 +200,11 @@
 
 int runApply(const CtlOptions &options, const std::string &file)
 {
-    std::string text;
-    Configuration wanted;
-    Configuration inForce;
-    if (const int status = loadChecked(options, file, text, wanted); status != ExitDone) {
-        return status;
-    }
-    if (const int status = fetchInForce(options, inForce); status != ExitDone) {
+    FileInForce both;
+    if (const int status = loadBeside(options, file, both); status != ExitDone) {
         return status;
     }
+    const auto &[text, wanted, inForce] = both;
     const std::uint64_t base = options.version > 0 ? options.version : inForce.version.value;
     if (!options.isJson) {
         std::cout << "changes against version " << inForce.version.value << ":\n";
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -103,7 +103,9 @@
     void replaceStage(OpenStream &stream, std::uint32_t stageIndex, const Error &error, bool isTargetsFault);
     void renew(OpenStream &stream, const Error &error);
 
+    void closeStage(const OpenStream &stream, const StageAddress &stage);
     void closeStages(const OpenStream &stream);
+    void closeLeftStages(OpenStream &stream);
     void finish(OpenStream &stream, FinishReason reason, std::uint32_t promptTokens);
     void fail(OpenStream &stream, const Error &error, StreamFailure failure = {});
 
@@ -116,7 +118,7 @@
     milliseconds progressTimeout(const OpenStream &stream);
     void checkProgress(OpenStream &stream, TimePoint now);
     void judge(OpenStream &stream);
-    std::vector<RequestId> usersOf(const std::function<bool(const StageAddress &)> &matches) const;
+    void replaceWhere(const std::function<bool(const StageAddress &)> &matches, const Error &error, bool isTargetsFault);
 };
 
 OpenStream *Streams::Private::find(const RequestId &request)
@@ -158,6 +160,7 @@
     stream.waitingSince = {};
     stream.hasQuery = false;
     stream.progressAt = context.clock.now();
+    closeLeftStages(stream);
     OpenStage open;
     open.request = stream.request.id;
     open.attempt = stream.attempt;
@@ -252,17 +255,36 @@
 
 // [SECTION] Ends
 
+void Streams::Private::closeStage(const OpenStream &stream, const StageAddress &stage)
+{
+    targets.noteClosed(stage.target);
+    const LinkPtr link = context.links.find(addressOf(stage));
+    if (link) {
+        link->send(CloseStream{stream.request.id, stream.attempt});
+    }
+}
+
 void Streams::Private::closeStages(const OpenStream &stream)
 {
     for (const StageAddress &stage : stream.opened) {
-        targets.noteClosed(stage.target);
-        const LinkPtr link = context.links.find(addressOf(stage));
-        if (link) {
-            link->send(CloseStream{stream.request.id, stream.attempt});
-        }
+        closeStage(stream, stage);
     }
 }
 
+/// Tells stages that the chain has left to free the stream: they may be well, and hold KV cache for it.
+void Streams::Private::closeLeftStages(OpenStream &stream)
+{
+    std::erase_if(stream.opened, [&](const StageAddress &stage) {
+        const bool isStillThere = std::any_of(stream.chain.begin(), stream.chain.end(), [&stage](const StageAddress &other) {
+            return other.target == stage.target;
+        });
+        if (!isStillThere) {
+            closeStage(stream, stage);
+        }
+        return !isStillThere;
+    });
+}
+
 void Streams::Private::finish(OpenStream &stream, FinishReason reason, std::uint32_t promptTokens)
 {
     closeStages(stream);
@@ -449,7 +471,8 @@
     }
 }
 
-std::vector<RequestId> Streams::Private::usersOf(const std::function<bool(const StageAddress &)> &matches) const
+/// Replaces the matching stage of every stream that has one.
+void Streams::Private::replaceWhere(const std::function<bool(const StageAddress &)> &matches, const Error &error, bool isTargetsFault)
 {
     std::vector<RequestId> users;
     for (const auto &[request, stream] : streams) {
@@ -457,7 +480,14 @@
             users.push_back(request);
         }
     }
-    return users;
+    for (const RequestId &request : users) {
+        OpenStream *stream = find(request);
+        if (!stream) {
+            continue;
+        }
+        const auto stage = std::find_if(stream->chain.begin(), stream->chain.end(), matches);
+        replaceStage(*stream, static_cast<std::uint32_t>(stage - stream->chain.begin()), error, isTargetsFault);
+    }
 }
 
 // [SECTION] Streams
@@ -511,26 +541,20 @@
 
 void Streams::linkGone(const std::string &address, const Error &error)
 {
-    const auto isThere = [&address](const StageAddress &stage) {
-        return addressOf(stage).toString() == address;
-    };
-    for (const RequestId &request : d->usersOf(isThere)) {
-        OpenStream *stream = d->find(request);
-        const auto stage = std::find_if(stream->chain.begin(), stream->chain.end(), isThere);
-        d->replaceStage(*stream, static_cast<std::uint32_t>(stage - stream->chain.begin()), error, true);
-    }
+    d->replaceWhere(
+        [&address](const StageAddress &stage) {
+            return addressOf(stage).toString() == address;
+        },
+        error, true);
 }
 
 void Streams::targetGone(const TargetId &target)
 {
-    const auto isTarget = [&target](const StageAddress &stage) {
-        return stage.target == target;
-    };
-    for (const RequestId &request : d->usersOf(isTarget)) {
-        OpenStream *stream = d->find(request);
-        const auto stage = std::find_if(stream->chain.begin(), stream->chain.end(), isTarget);
-        d->replaceStage(*stream, static_cast<std::uint32_t>(stage - stream->chain.begin()), {"hear from target", target.value, "silent or restarted"}, false);
-    }
+    d->replaceWhere(
+        [&target](const StageAddress &stage) {
+            return stage.target == target;
+        },
+        {"hear from target", target.value, "silent or restarted"}, false);
 }
 
 void Streams::targetsChanged()
@@ -549,6 +573,9 @@
     const TimePoint now = context.clock.now();
     for (const RequestId &request : waiting) {
         OpenStream *stream = find(request);
+        if (!stream) {
+            continue;
+        }
         if (now - stream->waitingSince >= exclusionLife) {
             stream->excluded.clear();
         }
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -309,7 +309,13 @@
 void Stages::Private::finishStep(const RequestId &request, std::uint64_t generation, std::uint32_t position, const StepResult &result)
 {
     HeldStream *stream = find(request);
-    if (!stream || stream->generation != generation) {
+    if (!stream) {
+        // The stream was closed while the step waited here or at the engine. The cancel may have overtaken the step, which
+        // then began the stream anew there; nobody would ever cancel it again.
+        engine.cancel({request});
+        return;
+    }
+    if (stream->generation != generation) {
         return;
     }
     if (result.end != StepEnd::Done) {
--- a/stand-ins/platform_main.cpp
+++ b/stand-ins/platform_main.cpp
@@ -5,8 +5,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
-#include <iostream>
-
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "host:port");
 
 using namespace Parsleytrail;
@@ -26,17 +24,7 @@
     absl::ParseCommandLine(argc, argv);
     EventLoop loop;
     StandIn::Platform platform(loop);
-    Error error;
-    const auto start = [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(wanted, parseAddress(absl::GetFlag(FLAGS_listen)));
-        BOOST_LEAF_AUTO(taken, platform.listen(wanted));
-        std::cout << "listening " << taken.toString() << std::endl;
-        return {};
-    };
-    if (!runCatching(start, error)) {
-        std::cerr << error.toString() << '\n';
-        return 1;
-    }
-    StandIn::runUntilSignal(loop);
-    return 0;
+    return StandIn::runListening(loop, absl::GetFlag(FLAGS_listen), [&platform](const Address &address) {
+        return platform.listen(address);
+    });
 }
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -18,6 +18,23 @@
     return false;
 }
 
+int runListening(EventLoop &loop, const std::string &address, const std::function<Result<Address>(const Address &)> &listen)
+{
+    Error error;
+    const auto start = [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(wanted, parseAddress(address));
+        BOOST_LEAF_AUTO(taken, listen(wanted));
+        std::cout << "listening " << taken.toString() << std::endl;
+        return {};
+    };
+    if (!runCatching(start, error)) {
+        std::cerr << error.toString() << '\n';
+        return 1;
+    }
+    runUntilSignal(loop);
+    return 0;
+}
+
 void runUntilSignal(EventLoop &loop)
 {
     const auto stop = [&loop] {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -196,6 +196,45 @@
     BOOST_TEST(answer->events < 100u);
 }
 
+BOOST_AUTO_TEST_CASE(callers_hang_up_at_once)
+{
+    // Callers go away while their first step waits in the sidecar, or is at the engine: the cancel overtakes the step, which
+    // then begins the stream anew at the engine. The sidecar, which no longer knows the stream, cancels it again when the
+    // step comes back; without that the engine's KV cache fills up with streams that nobody reads.
+    Cluster cluster(slowEngines());
+    for (int i = 0; i < 60; ++i) {
+        const AnswerPtr answer = cluster.ask("gone " + std::to_string(i), 4000);
+        cluster.idle(milliseconds(i % 12));
+        answer->call->cancel();
+    }
+    cluster.wait("entry, sidecars and engines to be free", [&] {
+        const bool engines = std::all_of(cluster.engines.begin(), cluster.engines.end(), [](const auto &engine) {
+            return engine->openStreams() == 0;
+        });
+        return engines && cluster.entries[0]->open() == 0;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_replaced_stage_is_told)
+{
+    // The engine of a stage hangs; the stage is replaced, and its sidecar, which is well, is told at once and not only at
+    // the end of the answer, so that its engine can use the memory when it comes back.
+    Cluster cluster(slowEngines());
+    AnswerPtr answer = cluster.ask(question, 4000);
+    cluster.wait("the first tokens", [&] {
+        return answer->events >= 5;
+    });
+    const std::size_t engine = cluster.engineOfStage(1);
+    cluster.engines[engine]->setHanging(true);
+    cluster.wait("the stage to be replaced", [&] {
+        return cluster.engineOfStage(1) != engine;
+    });
+    cluster.wait("the sidecar to be free", [&] {
+        return cluster.sidecars[engine]->open() == 0;
+    });
+    BOOST_TEST(!answer->isOver);
+}
+
 BOOST_AUTO_TEST_CASE(caller_of_a_whole_answer_hangs_up)
 {
     // Nothing is written to the caller before the end, so that only the reading side can tell that it has gone.
