--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -51,6 +51,7 @@
     // One workspace has a hundred requests waiting, two have five each. The first thirty starts hold all ten of the small
     // ones.
     std::vector<WaitingRequest> waiting;
+    waiting.reserve(100);
     for (int i = 0; i < 100; ++i) {
         waiting.push_back(waitingOf("large", 1, 50, i));
     }
@@ -93,6 +94,7 @@
     options.configuration.replace(options.configuration.find("adapter = clay\n[service.booking]"), 15, "adapter = clay\nbetween-tokens-target = 5ms\n");
     Cluster cluster(options);
     std::vector<AnswerPtr> answers;
+    answers.reserve(30);
     for (int i = 0; i < 30; ++i) {
         answers.push_back(cluster.ask("long " + std::to_string(i), 60));
     }
@@ -135,6 +137,7 @@
                                   "adapter = clay\nbetween-tokens-target = 5ms\nfirst-token-deadline = 60s\n");
     Cluster cluster(options);
     std::vector<AnswerPtr> answers;
+    answers.reserve(80);
     for (int i = 0; i < 80; ++i) {
         answers.push_back(cluster.ask("long " + std::to_string(i), 30));
     }
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -94,6 +94,7 @@
     });
     const std::uint64_t before = cluster.engines[leaving]->openStreams();
     std::vector<AnswerPtr> others;
+    others.reserve(10);
     for (int i = 0; i < 10; ++i) {
         others.push_back(cluster.ask("other", 3));
     }
@@ -160,6 +161,7 @@
     // other one.
     Cluster cluster(slowEngines());
     std::vector<AnswerPtr> answers;
+    answers.reserve(20);
     for (int i = 0; i < 20; ++i) {
         answers.push_back(cluster.ask("question " + std::to_string(i), 30, static_cast<std::size_t>(i % 2)));
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -109,7 +109,7 @@
 BOOST_AUTO_TEST_SUITE(http)
 
 BOOST_DATA_TEST_CASE(malformed_requests_get_400,
-                     boost::unit_test::data::make({std::string("NONSENSE\r\n\r\n"), std::string("\x16\x03\x01\x02\x00\x01\x00\x01"),
+                     boost::unit_test::data::make({std::string("NONSENSE\r\n\r\n"), std::string("\x16\x03\x01\x02\x00\x01\x00\x01", 8),
                                                    std::string("GET /") + std::string(20000, 'x') + " HTTP/1.1\r\n\r\n"}),
                      bytes)
 {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -38,6 +38,7 @@
 std::vector<const TargetView *> pointers(const std::vector<TargetView> &views)
 {
     std::vector<const TargetView *> list;
+    list.reserve(views.size());
     for (const TargetView &view : views) {
         list.push_back(&view);
     }
@@ -218,6 +219,7 @@
 BOOST_AUTO_TEST_CASE(failing_targets_are_ejected_but_never_the_majority)
 {
     std::vector<TargetView> views;
+    views.reserve(5);
     for (int i = 0; i < 5; ++i) {
         views.push_back(holder("t" + std::to_string(i), 0, 30));
     }
@@ -319,6 +321,7 @@
 BOOST_AUTO_TEST_CASE(rendezvous_moves_few_when_one_leaves)
 {
     std::vector<std::string> entries;
+    entries.reserve(20);
     for (int i = 0; i < 20; ++i) {
         entries.push_back("entry-" + std::to_string(i));
     }
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -71,6 +71,7 @@
         engine->crashOn(poison);
     }
     std::vector<AnswerPtr> answers;
+    answers.reserve(20);
     for (int i = 0; i < 20; ++i) {
         answers.push_back(cluster.ask("innocent " + std::to_string(i), 40, static_cast<std::size_t>(i % 2)));
     }
