Tests of recovery do not hang on the machine's mood; a progress-timeout over 5 s was undefined

Cause: tests that assert exact counts used a progress-timeout of 300 ms: a machine that stalls longer would see stages replaced. Raising it showed std::clamp with its bounds the wrong way round for settings over 5 s. Change: only the tests of standing still use short times; the upper bound is at least the setting.

--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -431,7 +431,8 @@
 {
     const ModelTimes &modelTimes = times[stream.request.need.model];
     const TimeEstimate &estimate = stream.emitted.empty() ? modelTimes.firstToken : modelTimes.betweenTokens;
-    return overdueAfter(estimate, context.settings.progressTimeout, longestProgressTimeout);
+    const milliseconds shortest = context.settings.progressTimeout;
+    return overdueAfter(estimate, shortest, std::max(shortest, longestProgressTimeout));
 }
 
 void Streams::Private::checkProgress(OpenStream &stream, TimePoint now)
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -17,6 +17,11 @@
     options.tuneEngine = [](StandIn::EngineOptions &engine) {
         engine.stepFixed = microseconds(3000);
     };
+    // A machine that is busy for a moment must not look like a stage that hangs.
+    options.tuneEntry = [](EntrySettings &entry) {
+        entry.progressTimeout = milliseconds(10000);
+        entry.silenceTimeout = milliseconds(10000);
+    };
     return options;
 }
 
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -17,16 +17,17 @@
 constexpr std::uint32_t answerTokens = 40;
 const std::string question = "how do I rinse a drum";
 
-/// Engines slow enough that an answer is still on its way when the test acts.
-ClusterOptions slowEngines()
+/// Engines slow enough that an answer is still on its way when the test acts. Only tests of standing still shorten the time
+/// after which a stream counts as such: a machine that is busy for a moment must not change what the others assert.
+ClusterOptions slowEngines(milliseconds progressTimeout = milliseconds(10000))
 {
     ClusterOptions options;
     options.tuneEngine = [](StandIn::EngineOptions &engine) {
         engine.stepFixed = microseconds(3000);
     };
-    options.tuneEntry = [](EntrySettings &entry) {
-        entry.progressTimeout = milliseconds(300);
-        entry.silenceTimeout = milliseconds(1000);
+    options.tuneEntry = [progressTimeout](EntrySettings &entry) {
+        entry.progressTimeout = progressTimeout;
+        entry.silenceTimeout = milliseconds(10000);
     };
     return options;
 }
@@ -89,7 +90,7 @@
 {
     // The engine of one stage takes steps and never answers: no connection breaks. The entry sees no token for
     // progress-timeout, asks all stages how far they are, and blames the one with inputs that it has not applied.
-    Cluster cluster(slowEngines());
+    Cluster cluster(slowEngines(milliseconds(300)));
     AnswerPtr answer;
     const std::size_t engine = askAndFind(cluster, answer, static_cast<std::size_t>(stage));
     cluster.engines[engine]->setHanging(true);
@@ -219,7 +220,7 @@
 {
     // The engine of a stage hangs; the stage is replaced, and its sidecar, which is well, is told at once and not only at
     // the end of the answer, so that its engine can use the memory when it comes back.
-    Cluster cluster(slowEngines());
+    Cluster cluster(slowEngines(milliseconds(300)));
     AnswerPtr answer = cluster.ask(question, 4000);
     cluster.wait("the first tokens", [&] {
         return answer->events >= 5;
