--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -86,6 +86,8 @@
 done
 
 sidecar() { # ID LINK-PORT TARGET-PORT KIND DATA-CENTER [SERVICE]
+    local service=${6:-} class=gpu-a
+    [ -z "$service" ] || class=cpu
     cat >"$work/$1.ini" <<INI
 [sidecar]
 id = $1
@@ -98,10 +100,9 @@
 entries = $entries
 kind = $4
 target = 127.0.0.1:$3
-target-class = ${6:+cpu}${6:-gpu-a}
-service = ${6:-}
+target-class = $class
+service = $service
 INI
-    sed -i 's/^target-class = cpu.*/target-class = cpu/' "$work/$1.ini"
     run "$1" build/parsley-sidecar --settings="$work/$1.ini"
 }
 for i in 0 1 2 3 4 5; do
