--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char *poison = "poison";
 
-/// Three holders for each range, all of which die of the input.
+/// So many holders for each range, slow enough that companions are still in flight.
 ClusterOptions deadlyEngines(std::uint32_t holders)
 {
     ClusterOptions options;
@@ -25,6 +25,14 @@
     return options;
 }
 
+/// Every engine dies of the input.
+void makeDeadly(Cluster &cluster)
+{
+    for (const auto &engine : cluster.engines) {
+        engine->crashOn(poison);
+    }
+}
+
 std::size_t deadEngines(const Cluster &cluster)
 {
     return static_cast<std::size_t>(std::count_if(cluster.engines.begin(), cluster.engines.end(), [](const auto &engine) {
@@ -67,9 +75,7 @@
     // suspect; each runs its next step alone. The deadly one kills a second engine, alone there, and is refused. The
     // others are answered in full. The caller sends it again at the other entry: refused at once, nothing dies.
     Cluster cluster(deadlyEngines(4));
-    for (const auto &engine : cluster.engines) {
-        engine->crashOn(poison);
-    }
+    makeDeadly(cluster);
     std::vector<AnswerPtr> answers;
     answers.reserve(20);
     for (int i = 0; i < 20; ++i) {
@@ -112,9 +118,7 @@
     // The same input reaches two entries in the same moment and kills one engine for each. They tell each other before
     // either tries again: two engines, not four.
     Cluster cluster(deadlyEngines(5));
-    for (const auto &engine : cluster.engines) {
-        engine->crashOn(poison);
-    }
+    makeDeadly(cluster);
     const AnswerPtr a = cluster.ask(poison, 10, 0);
     const AnswerPtr b = cluster.ask(poison, 10, 1);
     cluster.wait("both refusals", [&] {
@@ -128,9 +132,7 @@
 BOOST_AUTO_TEST_CASE(an_entry_that_starts_later_knows)
 {
     Cluster cluster(deadlyEngines(4));
-    for (const auto &engine : cluster.engines) {
-        engine->crashOn(poison);
-    }
+    makeDeadly(cluster);
     const AnswerPtr first = cluster.ask(poison, 10);
     cluster.wait("the refusal", [&] {
         return first->isOver;
@@ -155,9 +157,7 @@
 {
     // The engines were mended; the operator allows the input by its fingerprint in the service's section.
     Cluster cluster(deadlyEngines(4));
-    for (const auto &engine : cluster.engines) {
-        engine->crashOn(poison);
-    }
+    makeDeadly(cluster);
     const AnswerPtr first = cluster.ask(poison, 10);
     cluster.wait("the refusal", [&] {
         return first->isOver;
