--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,11 +1,11 @@
 // parsleyctl: what operators run.
+#include "base/command_line.h"
 #include "ctl/commands.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
 #include <cstdlib>
-#include <cstring>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -113,11 +113,9 @@
 
 int main(int argc, char **argv)
 {
-    for (int i = 1; i < argc; ++i) {
-        if (std::strcmp(argv[i], "--help") == 0) {
-            std::cout << helpText;
-            return ExitDone;
-        }
+    if (wantsHelp(argc, argv)) {
+        std::cout << helpText;
+        return ExitDone;
     }
     const std::vector<char *> rest = absl::ParseCommandLine(argc, argv);
     const std::string format = absl::GetFlag(FLAGS_format);
--- a/src/entry/admission_queue.cpp
+++ b/src/entry/admission_queue.cpp
@@ -118,11 +118,8 @@
 
 void AdmissionQueue::noteFirstToken(const ModelName &model, double seconds, double targetSeconds)
 {
-    Lane &lane = d->lanes[model];
-    noteTime(lane.firstToken, seconds);
-    if (targetSeconds > 0) {
-        Parsleytrail::noteGap(lane.limit, seconds, targetSeconds, lane.running, d->context.clock.now());
-    }
+    noteTime(d->lanes[model].firstToken, seconds);
+    noteGap(model, seconds, targetSeconds);
 }
 
 void AdmissionQueue::noteGap(const ModelName &model, double seconds, double targetSeconds)
@@ -150,15 +147,6 @@
     }
 }
 
-std::size_t AdmissionQueue::waiting() const
-{
-    std::size_t count = 0;
-    for (const auto &[model, lane] : d->lanes) {
-        count += lane.waiting.size();
-    }
-    return count;
-}
-
 std::string AdmissionQueue::describe() const
 {
     nlohmann::json lanes = nlohmann::json::object();
--- a/src/entry/admission_queue.h
+++ b/src/entry/admission_queue.h
@@ -38,7 +38,6 @@
     /// Refuses what is late. Called every few tens of milliseconds.
     void tick();
 
-    std::size_t waiting() const;
     /// JSON object by model, for the status.
     std::string describe() const;
 
--- a/src/wire/daemon.cpp
+++ b/src/wire/daemon.cpp
@@ -1,12 +1,12 @@
 #include "wire/daemon.h"
 
+#include "base/command_line.h"
 #include "base/log.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
 #include <csignal>
-#include <cstring>
 #include <iostream>
 
 ABSL_FLAG(std::string, settings, "", "settings file (INI)");
@@ -17,16 +17,6 @@
 
 enum DaemonStatus { DaemonStopped = 0, DaemonNotStarted = 1, DaemonWrongUsage = 2 };
 
-static bool wantsHelp(int argc, char **argv)
-{
-    for (int i = 1; i < argc; ++i) {
-        if (std::strcmp(argv[i], "--help") == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool readSettings(const DaemonProgram &program)
 {
     if (!loadSettings(absl::GetFlag(FLAGS_settings), program.sectionName, program.readSettings)) {
--- a/stand-ins/process.cpp
+++ b/stand-ins/process.cpp
@@ -1,7 +1,8 @@
 #include "stand-ins/process.h"
 
+#include "base/command_line.h"
+
 #include <csignal>
-#include <cstring>
 #include <iostream>
 
 namespace Parsleytrail::StandIn
@@ -9,13 +10,11 @@
 
 bool printHelp(int argc, char **argv, const char *text)
 {
-    for (int i = 1; i < argc; ++i) {
-        if (std::strcmp(argv[i], "--help") == 0) {
-            std::cout << text;
-            return true;
-        }
+    if (!wantsHelp(argc, argv)) {
+        return false;
     }
-    return false;
+    std::cout << text;
+    return true;
 }
 
 int runListening(EventLoop &loop, const std::string &address, const std::function<Result<Address>(const Address &)> &listen)
