Relays tell each other load and view of the store; orders name a count the engine told

Cause: each entry planned with the whole KV cache of every engine, so that the entries together overbooked it (171 preemptions, first events after 1.9 s); a new lease holder ordered with counts it did not know (409, 0.8 s lost).

Change: announcements by UDP every 200 ms (load by target, avoided targets, newest changes known); rows of a table are fetched from a peer while the store does not answer; without any store the first entry orders; engines are asked before they are ordered.

Tests of it are not written yet.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -232,7 +232,7 @@
         m_request.exchange->send(m_body);
     }
     m_request.exchange->complete();
-    noteServed(m_context, m_request, exchange->head().status, m_target.value, m_sent, m_firstByteAt);
+    noteServed(m_context, m_request, {exchange->head().status, m_target.value, m_sent, m_firstByteAt, {}});
     end();
 }
 
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace Parsleytrail
 {
 
@@ -21,6 +23,19 @@
     return context.retryBudgets.emplace(service, budget).first->second;
 }
 
+void setLiveEntries(RelayContext &context, int entries)
+{
+    // Entries that are gone may be back, or only cut off from this one: their part of the budget stays theirs.
+    if (entries <= context.liveEntries) {
+        return;
+    }
+    context.liveEntries = entries;
+    for (auto &[service, budget] : context.retryBudgets) {
+        budget.burst = context.settings.retryBurst * budgetUse / entries;
+        budget.saved = std::min(budget.saved, budget.burst);
+    }
+}
+
 bool tryRetry(RelayContext &context, const ServiceName &service)
 {
     return tryRetry(budgetOf(context, service));
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -49,6 +49,8 @@
     int liveEntries = 1; ///< entries that share the retry budget, this one included
 };
 
+/// Raises the number of entries that share the retry budget; it never falls.
+void setLiveEntries(RelayContext &context, int entries);
 /// Takes one repeated send of this entry's part of the service's budget; false if it is spent.
 bool tryRetry(RelayContext &context, const ServiceName &service);
 /// Counts a request towards the budget.
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -96,6 +96,7 @@
         logEvent(Event::TargetUsable, {{"target", target.listed.id.value}, {"failures", std::to_string(target.failuresInRow)}});
         noteSuccess(target);
     }
+    target.isReported = true;
     const bool isNewer = report.ordersAccepted >= target.ordersAccepted || report.startedAtMs > target.listed.startedAtMs;
     if (isNewer) {
         target.listed.layers = report.layers;
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -107,18 +107,19 @@
     }
 }
 
-void noteServed(RelayContext &context, const ForwardedRequest &request, int status, std::string_view target, int attempts, TimePoint firstByteAt)
+void noteServed(RelayContext &context, const ForwardedRequest &request, const ServedAnswer &answer)
 {
     ++context.metrics.served;
     const TimePoint receivedAt = request.exchange->receivedAt();
-    context.metrics.firstByte.record(std::chrono::duration<double>(firstByteAt - receivedAt).count());
+    context.metrics.firstByte.record(std::chrono::duration<double>(answer.firstByteAt - receivedAt).count());
     logEvent(Event::RequestServed, {{"id", request.attemptId},
                                     {"route", request.route->name},
                                     {"workspace", request.workspace.value},
-                                    {"target", std::string(target)},
-                                    {"status", std::to_string(status)},
-                                    {"attempts", std::to_string(attempts)},
-                                    {"first_ms", millisecondsText(receivedAt, firstByteAt)},
+                                    {"target", answer.target},
+                                    {"status", std::to_string(answer.status)},
+                                    {"attempts", std::to_string(answer.attempts)},
+                                    {"first_ms", millisecondsText(receivedAt, answer.firstByteAt)},
+                                    {"gap_ms", std::to_string(answer.longestGap.count())},
                                     {"total_ms", millisecondsText(receivedAt, context.clock.now())},
                                     {"configuration", versionText(request)}});
 }
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -18,6 +18,15 @@
     std::string value;     ///< as sent
 };
 
+/// What is logged of a whole answer.
+struct ServedAnswer {
+    int status = 0;              ///< of the target
+    std::string target;          ///< that answered; of a stream the first engine of the last chain
+    int attempts = 0;            ///< targets that the request was sent to
+    TimePoint firstByteAt{};     ///< of the answer
+    milliseconds longestGap{0};  ///< between two events of a stream
+};
+
 /// Bytes of the request for a target. Fields of one connection, the caller's key and fields that the relay sets itself
 /// are left out.
 std::string requestBytes(const RelayContext &context, const ForwardedRequest &request, const TargetId &target, const std::vector<AddedField> &added);
@@ -27,7 +36,7 @@
 /// Answers a request that may have run: 504 if its time is up, else 502; cuts the answer if it was begun.
 void failRequest(RelayContext &context, const ForwardedRequest &request, std::string_view reason, std::string_view target, int attempts);
 /// Logs and counts a request that was answered whole.
-void noteServed(RelayContext &context, const ForwardedRequest &request, int status, std::string_view target, int attempts, TimePoint firstByteAt);
+void noteServed(RelayContext &context, const ForwardedRequest &request, const ServedAnswer &answer);
 void noteCallerGone(RelayContext &context, const ForwardedRequest &request, int attempts);
 void noteRetry(RelayContext &context, const ForwardedRequest &request, std::string_view reason, std::string_view target, int attempts);
 
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -66,6 +66,11 @@
     d->tick->startRepeating(planTick);
 }
 
+void PlacementDuty::planNow()
+{
+    d->plan();
+}
+
 void PlacementDuty::Private::plan()
 {
     if (!context.routes || !isHeld()) {
@@ -118,17 +123,22 @@
     return engines;
 }
 
-bool PlacementDuty::Private::isSettled(const ServiceSpec &service, const std::vector<PlacedEngine> &engines, TimePoint now)
+/// Whether any engine holds or loads layers: the system is past its first plan.
+static bool isStarted(const std::vector<PlacedEngine> &engines)
 {
-    const bool isStarted = std::any_of(engines.begin(), engines.end(), [](const PlacedEngine &engine) {
+    return std::any_of(engines.begin(), engines.end(), [](const PlacedEngine &engine) {
         return engine.layers.count() > 0;
     });
+}
+
+bool PlacementDuty::Private::isSettled(const ServiceSpec &service, const std::vector<PlacedEngine> &engines, TimePoint now)
+{
     std::size_t &count = engineCounts[service.name];
     if (count != engines.size()) {
         count = engines.size();
         grownAt[service.name] = now;
     }
-    return isStarted || now - grownAt[service.name] >= settleTime;
+    return isStarted(engines) || now - grownAt[service.name] >= settleTime;
 }
 
 void PlacementDuty::Private::planService(const ServiceSpec &service, TimePoint now)
@@ -142,7 +152,13 @@
         const bool isOrdered = known != pending.end() && known->second.layers == order.layers;
         const Target *target = findTarget(context.fleet, order.id);
         const bool isPausing = refusedAt.contains(order.id) && now - refusedAt[order.id] < refusalPause;
-        if (!isOrdered && !isPausing && target && isUsable(*target, now)) {
+        if (isOrdered || isPausing || !target || !isUsable(*target, now)) {
+            continue;
+        }
+        // An order that names a wrong count is refused, and the engine's layers stay missing for another round.
+        if (!target->isReported && isStarted(engines)) {
+            prober.ask(order.id);
+        } else {
             send(order, now);
         }
     }
--- a/src/relay/placement_duty.h
+++ b/src/relay/placement_duty.h
@@ -23,6 +23,8 @@
     PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld);
     ~PlacementDuty();
     void start();
+    /// Makes the plan anew without waiting for the next tick: an engine was lost, came or told what it holds.
+    void planNow();
 
 private:
     struct Private;
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -16,14 +16,18 @@
 
 struct Registry::Private {
     RelayContext &context;
+    HttpClient &client;
     Handlers handlers;
     std::unique_ptr<TableFeed> configuration{};
     std::unique_ptr<TableFeed> targets{};
     std::unique_ptr<Timer> removalTimer{};
     std::map<std::string, TimePoint> removals{}; ///< targets to be removed, and when
     TimePoint storeBackAt{};                     ///< when the store last came back; zero: it never was away
+    TimePoint storeLostAt{};                     ///< when it was last lost
     bool isStoreAway = false;
+    bool isCopying = false;                      ///< a copy from a peer is on its way
 
+    void fetchCopy(TableFeed &feed, const std::string &table, const std::string &host);
     void takeConfiguration(const Row &row);
     void takeTarget(const Row &row);
     void takeTargetGone(const std::string &key);
@@ -32,7 +36,7 @@
 };
 
 Registry::Registry(RelayContext &context, HttpClient &client, const Address &store, Handlers handlers)
-    : d(std::make_unique<Private>(Private{context, std::move(handlers)}))
+    : d(new Private{context, client, std::move(handlers)})
 {
     TableFeed::Handlers onConfiguration;
     onConfiguration.onRow = [this](const Row &row) {
@@ -59,6 +63,7 @@
     };
     onTargets.onStore = [this](bool isReachable) {
         d->isStoreAway = !isReachable;
+        d->storeLostAt = isReachable ? d->storeLostAt : d->context.clock.now();
         d->storeBackAt = isReachable ? d->context.clock.now() : d->storeBackAt;
     };
     d->targets = std::make_unique<TableFeed>(context, client, store, context.dialect.targetTable(), std::move(onTargets));
@@ -82,7 +87,74 @@
 
 bool Registry::isConfigurationFresh() const
 {
-    return d->context.routes && d->context.clock.now() - d->configuration->answeredAt() < freshFor;
+    return d->context.routes && d->context.clock.now() - d->configuration->confirmedAt() < freshFor;
+}
+
+bool Registry::isStoreLost() const
+{
+    return d->isStoreAway;
+}
+
+TimePoint Registry::storeLostAt() const
+{
+    return d->storeLostAt;
+}
+
+void Registry::describe(RelayAnnouncement &announcement) const
+{
+    announcement.isStoreLost = d->isStoreAway;
+    announcement.configurationChange = d->configuration->lastChange();
+    announcement.targetsChange = d->targets->lastChange();
+}
+
+void Registry::notePeer(const RelayAnnouncement &announcement)
+{
+    const std::string &host = announcement.host;
+    if (d->configuration->isStoreLost() && announcement.configurationChange > d->configuration->lastChange()) {
+        d->fetchCopy(*d->configuration, d->context.dialect.configurationTable(), host);
+    }
+    if (d->targets->isStoreLost() && announcement.targetsChange > d->targets->lastChange()) {
+        d->fetchCopy(*d->targets, d->context.dialect.targetTable(), host);
+    }
+    if (!announcement.isStoreLost) {
+        d->configuration->noteConfirmed(announcement.configurationChange);
+        d->targets->noteConfirmed(announcement.targetsChange);
+    }
+}
+
+constexpr std::uint16_t copyWireVersion = 2;   ///< of copies between relays
+constexpr milliseconds copyTimeout{1000};      ///< a copy is some hundred KB at most
+
+void Registry::Private::fetchCopy(TableFeed &feed, const std::string &table, const std::string &host)
+{
+    if (isCopying) {
+        return;
+    }
+    isCopying = true;
+    HttpClientRequest request;
+    request.path = "/peer/table?name=" + table;
+    request.timeout = copyTimeout;
+    const Address address{host, static_cast<std::uint16_t>(context.settings.metricsPort)};
+    client.fetch(address, std::move(request), [this, &feed, table, host](const HttpResult &result) {
+        isCopying = false;
+        TableCopy copy;
+        const bool isCopy = result.isOk() && decode(result.body, copyWireVersion, copy) && copy.table == table;
+        logEvent(Event::TableCopied, {{"table", table}, {"peer", host}, {"change", std::to_string(copy.change)}, {"outcome", isCopy ? "taken" : result.failure ? result.failure->error.text : "no copy"}});
+        if (isCopy) {
+            feed.takeCopy(copy);
+        }
+    });
+}
+
+std::string Registry::copyTable(const std::string &table) const
+{
+    const bool isConfiguration = table == d->context.dialect.configurationTable();
+    const bool isTargets = table == d->context.dialect.targetTable();
+    std::string bytes;
+    if (isConfiguration || isTargets) {
+        encode((isConfiguration ? d->configuration : d->targets)->copyRows(), copyWireVersion, bytes);
+    }
+    return bytes;
 }
 
 void Registry::Private::takeConfiguration(const Row &row)
--- a/src/relay/registry.h
+++ b/src/relay/registry.h
@@ -1,6 +1,7 @@
 // Keeps the configuration and the fleet up to date from the platform's store.
 #pragma once
 
+#include "generated/messages.h"
 #include "relay/context.h"
 #include "relay/table_feed.h"
 
@@ -22,6 +23,15 @@
     Registry(RelayContext &context, HttpClient &client, const Address &store, Handlers handlers);
     ~Registry();
     void start();
+    /// Fills in what a peer may want to know of this view.
+    void describe(RelayAnnouncement &announcement) const;
+    /// Learns from a peer's announcement: while the store does not answer this entry, newer rows are fetched from the peer.
+    void notePeer(const RelayAnnouncement &announcement);
+    /// All rows of a table as bytes for a peer; empty for another table.
+    std::string copyTable(const std::string &table) const;
+    /// Whether the store does not answer, and since when.
+    bool isStoreLost() const;
+    TimePoint storeLostAt() const;
     /// Whether configuration and targets are known.
     bool isComplete() const;
     /// Whether the store confirmed the configuration a short time ago: only then may a route or key be called unknown.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,4 +1,4 @@
-// Index: [SECTION] State, [SECTION] Requests, [SECTION] Readiness, [SECTION] Start and stop, [SECTION] Dump
+// Index: [SECTION] State, [SECTION] Requests, [SECTION] Readiness, [SECTION] Duty, [SECTION] Start and stop, [SECTION] Dump
 #include "relay/relay.h"
 
 #include "base/log.h"
@@ -11,6 +11,7 @@
 #include "relay/lease_keeper.h"
 #include "relay/placement_duty.h"
 #include "relay/registry.h"
+#include "relay/relay_peers.h"
 
 #include <nlohmann/json.hpp>
 
@@ -41,6 +42,7 @@
     std::unique_ptr<EngineProber> prober{};
     std::unique_ptr<LeaseKeeper> lease{};
     std::unique_ptr<PlacementDuty> placement{};
+    std::unique_ptr<RelayPeers> peers{};
     std::unique_ptr<CallerSessions> sessions{};
     std::unique_ptr<Listener> listener{};
     std::unique_ptr<HttpServer> readinessServer{};
@@ -52,6 +54,8 @@
     TimePoint drainStartedAt{};
     bool isDraining = false;
     bool wasReady = false;
+    bool ordersWithoutStore = false;
+    bool isPlanDue = false; ///< planSoon() was called
 
     void takeRequest(const CallerExchangePtr &exchange);
     void forward(ForwardedRequest request);
@@ -59,6 +63,8 @@
     void checkForwardings();
     void moveFrom(const TargetId &dead);
     bool isReady();
+    bool mayOrder();
+    void planSoon();
     void checkDrain();
 };
 
@@ -184,6 +190,44 @@
     return isReadyNow;
 }
 
+// [SECTION] Duty
+
+/// Without the store for this long, any lease that was held has ended: longer than the longest lease.
+constexpr milliseconds leasesOverAfter{4000};
+
+/// Whether this entry may order loads. The lease says so; while the store answers no entry nobody can renew or take it,
+/// and engines lost meanwhile would stay lost for the whole outage. Then the first of the entries that hear each other
+/// acts. Two that do not hear each other may both act: engines carry out only the order that fits their state.
+bool Relay::Private::mayOrder()
+{
+    if (isDraining || lease->isHeld()) {
+        return !isDraining;
+    }
+    bool isAllowed = registry->isStoreLost() && context.clock.now() - registry->storeLostAt() >= leasesOverAfter;
+    for (const auto &[id, peer] : peers->live()) {
+        isAllowed = isAllowed && peer.last.isStoreLost && (context.settings.id < id.value || peer.last.isDraining);
+    }
+    if (isAllowed != ordersWithoutStore) {
+        ordersWithoutStore = isAllowed;
+        logEvent(Event::DutyWithoutStore, {{"orders", isAllowed ? "true" : "false"}, {"peers", std::to_string(peers->live().size())}});
+    }
+    return isAllowed;
+}
+
+/// Plans once this turn of the loop is over: many engines often change together.
+void Relay::Private::planSoon()
+{
+    if (std::exchange(isPlanDue, true)) {
+        return;
+    }
+    context.loop.defer([this] {
+        isPlanDue = false;
+        if (placement) {
+            placement->planNow();
+        }
+    });
+}
+
 // [SECTION] Start and stop
 
 Relay::Relay(EventLoop &loop, const Clock &clock, const Dialect &dialect, const RelaySettings &settings)
@@ -206,8 +250,11 @@
     EngineProber::Handlers onProbe;
     onProbe.onDead = [&data](const TargetId &id) {
         data.moveFrom(id);
+        data.planSoon();
+    };
+    onProbe.onReport = [&data] {
+        data.planSoon();
     };
-    onProbe.onReport = [] {};
     data.prober = std::make_unique<EngineProber>(data.context, data.client, std::move(onProbe));
     data.hooks.askForStalls = [&data](const TargetId &first) {
         data.prober->ask(first);
@@ -232,6 +279,10 @@
         if (exchange->request().path == "/metrics") {
             return exchange->reply(200, {{"Content-Type", "application/openmetrics-text; version=1.0.0"}}, data.context.metrics.all.openMetricsText());
         }
+        if (exchange->request().path == "/peer/table") {
+            const std::string name = queryParameter(exchange->request().query, "name").value_or("");
+            return exchange->reply(200, {{"Content-Type", "application/octet-stream"}}, data.registry->copyTable(name));
+        }
         if (exchange->request().path == "/state") {
             return exchange->reply(200, {{"Content-Type", "application/json"}}, dumpState());
         }
@@ -243,12 +294,27 @@
     handlers.onRoutes = [&data] {
         data.takeRoutes();
     };
-    handlers.onTargets = [] {};
+    handlers.onTargets = [&data] {
+        data.planSoon();
+    };
     data.registry = std::make_unique<Registry>(data.context, data.client, store, std::move(handlers));
     data.lease = std::make_unique<LeaseKeeper>(data.context, data.client, store, "placement");
     data.placement = std::make_unique<PlacementDuty>(data.context, data.client, *data.prober, [&data] {
-        return data.lease->isHeld();
+        return data.mayOrder();
     });
+    RelayPeers::Handlers onPeers;
+    onPeers.describe = [&data](RelayAnnouncement &announcement) {
+        data.registry->describe(announcement);
+        announcement.isDraining = data.isDraining;
+    };
+    onPeers.onAvoided = [&data](const TargetId &id) {
+        data.prober->ask(id);
+    };
+    onPeers.onHeard = [&data](const RelayAnnouncement &announcement) {
+        data.registry->notePeer(announcement);
+    };
+    data.peers = std::make_unique<RelayPeers>(data.context, std::move(onPeers));
+    BOOST_LEAF_CHECK(data.peers->start());
     data.registry->start();
     data.lease->start();
     data.prober->start();
--- /dev/null
+++ b/src/relay/relay_peers.cpp
@@ -0,0 +1,172 @@
+#include "relay/relay_peers.h"
+
+#include "base/log.h"
+#include "wire/datagrams.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Parsleytrail
+{
+
+/// Between announcements. Load moves by some requests in this time, a small part of what an engine holds; a datagram of
+/// 2 KB five times a second to each peer stays below the cost of one relayed stream.
+constexpr milliseconds announceInterval{200};
+/// A relay not heard of for this long is gone: several datagrams lost in a row.
+constexpr milliseconds silenceTimeout{1500};
+constexpr std::size_t maxLoads = 128; ///< of one datagram, see the schema
+
+struct RelayPeers::Private {
+    RelayContext &context;
+    Handlers handlers;
+    std::unique_ptr<Datagrams> datagrams{};
+    std::unique_ptr<Timer> tick{};
+    std::map<EntryId, RelayPeer> live{};
+    std::set<std::string> hosts{}; ///< to announce to
+    Incarnation incarnation{};
+    std::uint64_t sequence = 0;
+
+    void announce();
+    RelayAnnouncement describeSelf();
+    void take(const RelayAnnouncement &announcement);
+    void addLoads(const RelayAnnouncement &announcement, int sign);
+    void dropSilent();
+    void countLive();
+};
+
+RelayPeers::RelayPeers(RelayContext &context, Handlers handlers)
+    : d(new Private{context, std::move(handlers)})
+{
+    d->tick = std::make_unique<Timer>(context.loop, [this] {
+        d->dropSilent();
+        d->announce();
+    });
+    d->incarnation = incarnationNow(context.clock);
+}
+
+RelayPeers::~RelayPeers() = default;
+
+Result<void> RelayPeers::start()
+{
+    const RelaySettings &settings = d->context.settings;
+    constexpr std::uint16_t wireVersion = 2;
+    d->datagrams = std::make_unique<Datagrams>(d->context.loop, wireVersion, [this](const Frame &frame, const Address &) {
+        if (frame.message == RelayAnnouncement::messageId) {
+            decodeAnd<RelayAnnouncement>(frame, [this](const RelayAnnouncement &announcement) {
+                d->take(announcement);
+            });
+        }
+    });
+    BOOST_LEAF_CHECK(d->datagrams->bind({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
+    for (const std::string &seed : settings.seeds) {
+        BOOST_LEAF_AUTO(address, parseAddress(seed));
+        if (address.host != settings.host) {
+            d->hosts.insert(address.host);
+        }
+    }
+    d->tick->startRepeating(announceInterval);
+    return {};
+}
+
+const std::map<EntryId, RelayPeer> &RelayPeers::live() const
+{
+    return d->live;
+}
+
+RelayAnnouncement RelayPeers::Private::describeSelf()
+{
+    RelayAnnouncement announcement;
+    announcement.entry.value = context.settings.id;
+    announcement.incarnation = incarnation;
+    announcement.sequence = ++sequence;
+    announcement.host = context.settings.host;
+    for (const auto &[id, peer] : live) {
+        announcement.peers.push_back(peer.last.host);
+    }
+    const TimePoint now = context.clock.now();
+    for (const auto &[id, target] : context.fleet.targets) {
+        const bool isAvoided = !target.listed.isDraining && !isUsable(target, now);
+        if ((target.openRequests > 0 || isAvoided) && announcement.loads.size() < maxLoads) {
+            announcement.loads.push_back({id, static_cast<std::uint32_t>(target.openRequests), static_cast<std::uint64_t>(target.kvTokenLayers), isAvoided});
+        }
+    }
+    handlers.describe(announcement);
+    return announcement;
+}
+
+void RelayPeers::Private::announce()
+{
+    const RelayAnnouncement announcement = describeSelf();
+    for (const std::string &host : hosts) {
+        datagrams->send({host, static_cast<std::uint16_t>(context.settings.peerPort)}, announcement);
+    }
+}
+
+/// Adds a peer's load to the fleet, or takes it out again.
+void RelayPeers::Private::addLoads(const RelayAnnouncement &announcement, int sign)
+{
+    for (const TargetLoad &load : announcement.loads) {
+        Target *target = findTarget(context.fleet, load.target);
+        if (!target) {
+            continue;
+        }
+        target->peersOpenRequests = std::max(0, target->peersOpenRequests + sign * static_cast<int>(load.openRequests));
+        target->peersKvTokenLayers = std::max(0.0, target->peersKvTokenLayers + sign * static_cast<double>(load.kvTokenLayers));
+    }
+}
+
+void RelayPeers::Private::take(const RelayAnnouncement &announcement)
+{
+    if (announcement.entry.value == context.settings.id) {
+        return;
+    }
+    const bool isKnown = live.contains(announcement.entry);
+    RelayPeer &peer = live[announcement.entry];
+    const bool isOlder = announcement.incarnation < peer.last.incarnation
+        || (announcement.incarnation == peer.last.incarnation && announcement.sequence <= peer.last.sequence);
+    if (isKnown && isOlder) {
+        return;
+    }
+    if (!isKnown) {
+        logEvent(Event::PeerSeen, {{"peer", announcement.entry.value}, {"host", announcement.host}});
+    }
+    addLoads(peer.last, -1);
+    peer.last = announcement;
+    peer.heardAt = context.clock.now();
+    addLoads(peer.last, +1);
+    hosts.insert(announcement.host);
+    for (const std::string &host : announcement.peers) {
+        if (host != context.settings.host) {
+            hosts.insert(host);
+        }
+    }
+    for (const TargetLoad &load : announcement.loads) {
+        const Target *target = load.isAvoided ? findTarget(context.fleet, load.target) : nullptr;
+        if (target && isUsable(*target, peer.heardAt)) {
+            handlers.onAvoided(load.target);
+        }
+    }
+    countLive();
+    handlers.onHeard(announcement);
+}
+
+void RelayPeers::Private::dropSilent()
+{
+    const TimePoint now = context.clock.now();
+    std::erase_if(live, [&](const auto &entry) {
+        const bool isSilent = now - entry.second.heardAt > silenceTimeout;
+        if (isSilent) {
+            logEvent(Event::PeerSilent, {{"peer", entry.first.value}, {"host", entry.second.last.host}});
+            addLoads(entry.second.last, -1);
+        }
+        return isSilent;
+    });
+    countLive();
+}
+
+void RelayPeers::Private::countLive()
+{
+    setLiveEntries(context, 1 + static_cast<int>(live.size()));
+}
+
+} // namespace Parsleytrail
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -84,6 +84,8 @@
     TimePoint m_progressAt{};       ///< of the start of the attempt or its last event
     TimePoint m_askedAt{};          ///< when the first engine was last asked for stalls
     TimePoint m_firstByteAt{};
+    TimePoint m_eventAt{}; ///< of the last event passed on
+    milliseconds m_longestGap{0}; ///< between two events passed on
     int m_sent = 0;            ///< attempts that an engine may have begun
     int m_refusals = 0;        ///< attempts that engines refused without running them
     bool m_mayHaveRun = false; ///< in an attempt before
@@ -273,9 +275,11 @@
     if (!m_request.exchange->isBegun()) {
         m_firstByteAt = now;
         m_request.exchange->begin(m_exchange->head(), nullptr);
-    } else if (m_hasEvents) {
-        m_context.metrics.eventGap.record(std::chrono::duration<double>(now - m_progressAt).count());
+    } else {
+        m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<milliseconds>(now - m_eventAt));
+        m_context.metrics.eventGap.record(std::chrono::duration<double>(now - m_eventAt).count());
     }
+    m_eventAt = now;
     m_request.exchange->send(event.bytes);
     if (event.hasId) {
         m_lastEvent = event.id;
@@ -301,7 +305,7 @@
         }
     }
     m_request.exchange->complete();
-    noteServed(m_context, m_request, head.status, firstTarget(), m_sent, m_firstByteAt);
+    noteServed(m_context, m_request, {head.status, firstTarget(), m_sent, m_firstByteAt, m_longestGap});
     end();
 }
 
@@ -330,7 +334,7 @@
         m_request.exchange->begin(head, &length);
         m_request.exchange->send(m_body);
         m_request.exchange->complete();
-        noteServed(m_context, m_request, head.status, firstTarget(), m_sent, m_context.clock.now());
+        noteServed(m_context, m_request, {head.status, firstTarget(), m_sent, m_context.clock.now(), {}});
         return end();
     }
     retryOrEnd(isOwnFailure ? "engine failed" : "answer is not the engine's own", true);
--- a/src/relay/table_feed.cpp
+++ b/src/relay/table_feed.cpp
@@ -27,12 +27,13 @@
 
     std::unique_ptr<Timer> next{};
     HttpCallPtr call{};
-    std::map<std::string, std::uint64_t> versions{}; ///< of the rows known, by key
+    std::map<std::string, Row> rows{};               ///< known, by key; removed ones too, without value
     std::set<std::string> seen{};                    ///< keys of the reading under way
     std::string readFrom{};                          ///< where the reading goes on
     std::uint64_t revision = 0;                      ///< of the last answer
     std::uint64_t firstRevision = 0;                 ///< of the first page of the reading under way
-    TimePoint answeredAt{};
+    std::uint64_t lastChange = 0;                    ///< highest version of a row, removed ones included
+    TimePoint confirmedAt{};
     int failures = 0;
     bool isWatching = false;
     bool isRead = false;
@@ -41,6 +42,7 @@
     void takeAnswer(const HttpResult &result);
     void takePage(const RowPage &page);
     void takeRow(const Row &row);
+    void dropMissing(const std::set<std::string> &present);
     void endReading();
     void takeFailure(const std::string &reason);
     void noteAnswer();
@@ -71,9 +73,57 @@
     return d->isRead;
 }
 
-TimePoint TableFeed::answeredAt() const
+TimePoint TableFeed::confirmedAt() const
 {
-    return d->answeredAt;
+    return d->confirmedAt;
+}
+
+bool TableFeed::isStoreLost() const
+{
+    return d->failures >= failuresUntilLost;
+}
+
+std::uint64_t TableFeed::lastChange() const
+{
+    return d->lastChange;
+}
+
+TableCopy TableFeed::copyRows() const
+{
+    TableCopy copy;
+    copy.table = d->table;
+    copy.change = d->lastChange;
+    for (const auto &[key, row] : d->rows) {
+        if (!row.isDeleted) {
+            copy.rows.push_back({key, row.version, row.value});
+        }
+    }
+    return copy;
+}
+
+void TableFeed::takeCopy(const TableCopy &copy)
+{
+    if (copy.change <= d->lastChange) {
+        return;
+    }
+    std::set<std::string> present;
+    for (const TableRow &row : copy.rows) {
+        present.insert(row.key);
+        d->takeRow({row.key, row.version, row.value, false});
+    }
+    d->dropMissing(present);
+    d->lastChange = copy.change;
+    if (!d->isRead) {
+        d->isRead = true;
+        d->handlers.onRead();
+    }
+}
+
+void TableFeed::noteConfirmed(std::uint64_t change)
+{
+    if (d->isRead && change <= d->lastChange) {
+        d->confirmedAt = d->context.clock.now();
+    }
 }
 
 void TableFeed::Private::ask()
@@ -116,7 +166,7 @@
 
 void TableFeed::Private::noteAnswer()
 {
-    answeredAt = context.clock.now();
+    confirmedAt = context.clock.now();
     if (failures >= failuresUntilLost) {
         logEvent(Event::StoreBack, {{"table", table}});
         handlers.onStore(true);
@@ -127,6 +177,9 @@
 void TableFeed::Private::takePage(const RowPage &page)
 {
     for (const Row &row : page.rows) {
+        if (!isWatching) {
+            seen.insert(row.key);
+        }
         takeRow(row);
     }
     if (isWatching) {
@@ -146,14 +199,14 @@
 
 void TableFeed::Private::takeRow(const Row &row)
 {
-    if (!isWatching) {
-        seen.insert(row.key);
-    }
-    std::uint64_t &known = versions[row.key];
-    if (row.version <= known) {
+    Row &known = rows[row.key];
+    // A row that a peer's older copy lacked is not gone: the store still shows it, at the version that was known.
+    const bool isBack = row.version == known.version && known.isDeleted && !row.isDeleted;
+    if (row.version <= known.version && !isBack) {
         return;
     }
-    known = row.version;
+    known = row;
+    lastChange = std::max(lastChange, row.version);
     if (row.isDeleted) {
         handlers.onGone(row.key);
     } else {
@@ -161,16 +214,22 @@
     }
 }
 
+/// Reports rows as removed that a whole reading did not hold.
+void TableFeed::Private::dropMissing(const std::set<std::string> &present)
+{
+    for (auto &[key, row] : rows) {
+        if (!row.isDeleted && !present.contains(key)) {
+            row.isDeleted = true;
+            row.value.clear();
+            handlers.onGone(key);
+        }
+    }
+}
+
 /// All pages are there: rows that were not among them are gone, and changes since the first page are watched.
 void TableFeed::Private::endReading()
 {
-    std::erase_if(versions, [this](const auto &entry) {
-        const bool isGone = !seen.contains(entry.first);
-        if (isGone) {
-            handlers.onGone(entry.first);
-        }
-        return isGone;
-    });
+    dropMissing(seen);
     seen.clear();
     readFrom.clear();
     revision = firstRevision;
@@ -187,7 +246,7 @@
         logEvent(Event::StoreUnreachable, {{"table", table}, {"reason", reason}});
         handlers.onStore(false);
     }
-    const int doublings = std::min(failures - 1, 6);
+    const int doublings = std::min(failures - 1, 4);
     const milliseconds pause = std::min(firstRetryPause * (1 << doublings), longestRetryPause);
     std::uniform_real_distribution<double> jitter(0.7, 1.3);
     next->start(std::chrono::duration_cast<microseconds>(pause * jitter(context.random)));
--- a/src/relay/table_feed.h
+++ b/src/relay/table_feed.h
@@ -4,6 +4,7 @@
 // is read anew, and rows that are missing then are reported as removed.
 #pragma once
 
+#include "generated/messages.h"
 #include "http/client.h"
 #include "relay/context.h"
 #include "store/rows.h"
@@ -31,8 +32,18 @@
     void start();
     /// Whether the table was read since the start.
     bool isRead() const;
-    /// When the store last answered; for the age of what is known.
-    TimePoint answeredAt() const;
+    /// When the store last answered, or a peer that it answers lately told that nothing newer is known.
+    TimePoint confirmedAt() const;
+    /// Whether the store does not answer.
+    bool isStoreLost() const;
+    /// Newest change that is known.
+    std::uint64_t lastChange() const;
+    /// All rows, for a peer.
+    TableCopy copyRows() const;
+    /// Takes a peer's rows if they are newer.
+    void takeCopy(const TableCopy &copy);
+    /// A peer that the store answers knows nothing newer than `change`.
+    void noteConfirmed(std::uint64_t change);
 
 private:
     struct Private;
