Gaps are shared out by a new cut; running streams move at their first engine

Cause: a neighbour of a gap that had no room left the gap open (layers 0-4 of a data centre for 15 s); a stopping entry took the placement lease again while the store was away and then ordered nothing for 5 s; stalls were found after 350-600 ms by the first engine's lagging report.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -70,9 +70,12 @@
     return candidates;
 }
 
-static std::vector<int> boundariesOf(const std::vector<Candidate> &candidates, int layers)
+static std::vector<int> boundariesOf(const std::vector<Candidate> &candidates, const ChainSituation &situation)
 {
-    std::vector<int> boundaries = {0, layers};
+    std::vector<int> boundaries = {0, situation.model->layers};
+    for (const ChainPart &part : situation.current) {
+        boundaries.push_back(part.layers.to);
+    }
     for (const Candidate &candidate : candidates) {
         boundaries.push_back(candidate.target->listed.layers.from);
         boundaries.push_back(candidate.target->listed.layers.to);
@@ -105,6 +108,22 @@
         }
         return before == candidate.dataCenter ? tuning.hopMs : tuning.crossHopMs;
     }
+    /// Whether a running request may take this part; the first one it has must stay as it is.
+    bool isAllowed(const TargetId &id, const LayerRange &layers) const
+    {
+        return situation.current.empty() || layers.from > 0 || isPart(situation.current.front(), id, layers);
+    }
+    double keepFactor(const TargetId &id, const LayerRange &layers) const
+    {
+        const bool isKept = std::any_of(situation.current.begin(), situation.current.end(), [&](const ChainPart &part) {
+            return isPart(part, id, layers);
+        });
+        return isKept ? tuning.keptPartFactor : 1;
+    }
+    static bool isPart(const ChainPart &part, const TargetId &id, const LayerRange &layers)
+    {
+        return part.layers == layers && part.id == id;
+    }
     void relax(std::size_t boundary, std::size_t dataCenter, int index)
     {
         const Candidate &candidate = candidates[index];
@@ -117,7 +136,12 @@
             if ((usesWholeRest && !isEnd) || tokens * layers > candidate.kvRoom) {
                 continue;
             }
-            const double cost = base + candidate.stepMsPerLayer * layers;
+            const LayerRange range{boundaries[boundary], boundaries[next]};
+            const TargetId &id = candidate.target->listed.id;
+            if (!isAllowed(id, range)) {
+                continue;
+            }
+            const double cost = base + candidate.stepMsPerLayer * layers * keepFactor(id, range);
             PathState &state = states[stateAt(next, candidate.dataCenter)];
             if (cost < state.cost) {
                 state = {cost, index, fromState};
@@ -183,7 +207,7 @@
     if (candidates.empty()) {
         return {};
     }
-    const std::vector<int> boundaries = boundariesOf(candidates, situation.model->layers);
+    const std::vector<int> boundaries = boundariesOf(candidates, situation);
     const double tokens = demand.promptTokens + demand.answerTokens;
     ChainSearch search{candidates, boundaries, dataCenters, situation, tuning, tokens, false};
     search.run();
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -39,6 +39,7 @@
     std::string dataCenter;             ///< of the entry
     TimePoint now{};                    ///< engines to be avoided until later are left out
     std::set<TargetId> excluded;        ///< engines that already failed this request
+    std::vector<ChainPart> current;     ///< chain of a request that runs: its first part is kept, others where they can be
 };
 
 /// Weights of the choice.
@@ -56,6 +57,8 @@
     /// Share of an engine's KV cache that is planned for. Answers are longer than expected half of the time; an engine
     /// that runs out stops its newest request and reads it again.
     double kvFillLimit = 0.92;
+    /// Factor on the cost of a part that a running request already has: a new part reads all tokens so far.
+    double keptPartFactor = 0.3;
     /// Random share added to each cost, so that entries with equal views do not all choose the same engine.
     double jitter = 0.05;
 };
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -133,20 +133,6 @@
 
 // [SECTION] Repair
 
-/// Whether an engine's range could go without leaving a layer of its group uncovered.
-static bool isSpare(const PlacedEngine &engine, const std::vector<int> &copies)
-{
-    if (engine.layers.count() == 0) {
-        return true;
-    }
-    for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
-        if (copies[layer] < 2) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void assign(PlacedEngine &engine, LayerRange layers, const char *reason, std::vector<int> &copies, std::vector<PlacementOrder> &orders)
 {
     for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
@@ -180,46 +166,96 @@
     return count;
 }
 
-/// Lets the neighbours of a gap hold more layers; returns the layers taken.
-static int fillWithNeighbours(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
-                              std::vector<PlacementOrder> &orders)
+/// Cost of an engine's holding a range: layers to be loaded, and the KV cache that is lost.
+static double rangeCost(const EngineModel &model, const PlacedEngine &engine, LayerRange layers, const PlacementTuning &tuning)
 {
-    PlacedEngine *best = nullptr;
-    int bestRoom = 0;
-    for (PlacedEngine &engine : group) {
-        const bool touches = engine.layers.count() > 0 && (engine.layers.to == gap.from || engine.layers.from == gap.to);
-        const int room = layersThatFit(model, engine, tuning.emergencyShare) - engine.layers.count();
-        if (!engine.isLeaving && touches && room > bestRoom) {
-            best = &engine;
-            bestRoom = room;
+    const int kept = std::max(0, std::min(layers.to, engine.layers.to) - std::max(layers.from, engine.layers.from));
+    const double fill = layers.count() * model.layerMb / memoryOf(model, engine) / tuning.layerShare;
+    return (layers.count() - kept) + tuning.fillCost * std::pow(fill, 4);
+}
+
+/// The cheapest way to cover all layers by the engines in the order of their ranges: each takes the layers where the one
+/// before it ends, or is left out. Empty if they can't.
+static std::vector<LayerRange> cutAnew(const EngineModel &model, const EngineGroup &chain, const PlacementTuning &tuning)
+{
+    constexpr double unreachable = 1e18;
+    const std::size_t width = model.layers + 1;
+    std::vector<double> cost((chain.size() + 1) * width, unreachable);
+    std::vector<int> cameFrom((chain.size() + 1) * width, 0);
+    cost[0] = 0;
+    for (std::size_t i = 0; i < chain.size(); ++i) {
+        const int most = layersThatFit(model, chain[i], tuning.emergencyShare);
+        for (int from = 0; from <= model.layers; ++from) {
+            const double base = cost[i * width + from];
+            for (int to = from; base < unreachable && to <= std::min(model.layers, from + most); ++to) {
+                const double total = base + (to > from ? rangeCost(model, chain[i], {from, to}, tuning) : 0);
+                if (total < cost[(i + 1) * width + to]) {
+                    cost[(i + 1) * width + to] = total;
+                    cameFrom[(i + 1) * width + to] = from;
+                }
+            }
         }
     }
-    if (!best) {
-        return 0;
+    std::vector<LayerRange> ranges(chain.size());
+    if (cost[chain.size() * width + model.layers] >= unreachable) {
+        return {};
     }
-    // Half of what is missing, so that the neighbour on the other side takes the rest and both keep KV cache.
-    const int count = std::min(bestRoom, (gap.count() + 1) / 2);
-    const bool isBefore = best->layers.to == gap.from;
-    const LayerRange wider = isBefore ? LayerRange{best->layers.from, best->layers.to + count} : LayerRange{best->layers.from - count, best->layers.to};
-    assign(*best, wider, "gap filled by a neighbour", copies, orders);
-    return count;
+    int to = model.layers;
+    for (std::size_t i = chain.size(); i > 0; --i) {
+        const int from = cameFrom[i * width + to];
+        ranges[i - 1] = {from, to};
+        to = from;
+    }
+    return ranges;
 }
 
-/// Moves an engine whose layers others hold too to the gap; returns the layers taken.
-static int fillWithSpare(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
-                         std::vector<PlacementOrder> &orders)
+/// Holders of each layer that hold it now and will keep it.
+static std::vector<int> lastingCopies(const EngineModel &model, const EngineGroup &group)
 {
-    for (PlacedEngine &engine : group) {
-        if (engine.isLeaving || !isSpare(engine, copies)) {
-            continue;
+    EngineGroup lasting = group;
+    for (PlacedEngine &engine : lasting) {
+        engine.layers = {std::max(engine.layers.from, engine.held.from), std::min(engine.layers.to, engine.held.to)};
+    }
+    return copiesOfLayers(model, lasting);
+}
+
+/// Whether an engine may give up the layers that its new range lacks: others hold them already.
+static bool mayTake(const PlacedEngine &engine, LayerRange layers, const std::vector<int> &lasting)
+{
+    const LayerRange kept{std::max(engine.layers.from, engine.held.from), std::min(engine.layers.to, engine.held.to)};
+    for (int layer = kept.from; layer < kept.to; ++layer) {
+        const bool isGivenUp = layer < layers.from || layer >= layers.to;
+        if (isGivenUp && lasting[layer] < 2) {
+            return false;
         }
-        const int count = std::min(gap.count(), layersThatFit(model, engine, tuning.emergencyShare));
-        if (count > 0) {
-            assign(engine, {gap.from, gap.from + count}, "gap filled by a spare", copies, orders);
-            return count;
+    }
+    return true;
+}
+
+/// Cuts the ranges of a group with gaps anew. Engines that only grow do so at once; those that give layers up wait until
+/// the plans of the next rounds find these held elsewhere. Returns false if the engines can't cover the layers.
+static bool recut(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<int> &copies, std::vector<PlacementOrder> &orders)
+{
+    EngineGroup chain;
+    for (const PlacedEngine &engine : group) {
+        if (!engine.isLeaving && memoryOf(model, engine) >= model.layerMb) {
+            chain.push_back(engine);
+        }
+    }
+    std::stable_sort(chain.begin(), chain.end(), [](const PlacedEngine &a, const PlacedEngine &b) {
+        return a.layers.from != b.layers.from ? a.layers.from < b.layers.from : a.id < b.id;
+    });
+    const std::vector<LayerRange> ranges = cutAnew(model, chain, tuning);
+    for (std::size_t i = 0; i < ranges.size(); ++i) {
+        PlacedEngine &engine = *std::find_if(group.begin(), group.end(), [&](const PlacedEngine &other) {
+            return other.id == chain[i].id;
+        });
+        const std::vector<int> lasting = lastingCopies(model, group);
+        if (ranges[i].count() > 0 && ranges[i] != engine.layers && mayTake(engine, ranges[i], lasting)) {
+            assign(engine, ranges[i], "gap shared out", copies, orders);
         }
     }
-    return 0;
+    return !ranges.empty();
 }
 
 /// Gives each engine that is still empty the part of the model with the fewest copies.
@@ -250,18 +286,13 @@
 static void repair(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<PlacementOrder> &orders)
 {
     std::vector<int> copies = copiesOfLayers(model, group);
-    for (std::vector<LayerRange> gaps = gapsOf(copies); !gaps.empty(); gaps = gapsOf(copies)) {
-        const LayerRange gap = gaps.front();
-        int taken = fillWithEmptyEngine(model, group, gap, tuning, copies, orders);
-        if (taken == 0) {
-            taken = fillWithNeighbours(model, group, gap, tuning, copies, orders);
-        }
-        if (taken == 0) {
-            taken = fillWithSpare(model, group, gap, tuning, copies, orders);
-        }
-        if (taken == 0) {
-            return;
-        }
+    std::vector<LayerRange> gaps = gapsOf(copies);
+    while (!gaps.empty() && fillWithEmptyEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
+        gaps = gapsOf(copies);
+    }
+    if (!gaps.empty()) {
+        recut(model, group, tuning, copies, orders);
+        return;
     }
     employEmptyEngines(model, group, tuning, copies, orders);
 }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -21,7 +21,8 @@
     TargetId id;            ///< names it in orders
     std::string dataCenter; ///< where it stands
     std::string kind;       ///< kind of accelerator
-    LayerRange layers;      ///< held, or being loaded; empty: none
+    LayerRange layers;      ///< ordered, or held if nothing is on its way; empty: none
+    LayerRange held;        ///< held now, as last reported
     bool isLeaving = false; ///< draining: what it holds is about to be lost
 };
 
@@ -39,8 +40,12 @@
     /// Share of a group's memory that layers may take before a further whole copy is given up. What is left holds KV
     /// cache: at the loads given, streams at once need a third of a copy's memory in each group.
     double layerShare = 0.62;
-    /// Share of one engine's memory that layers may take when a neighbour's range is taken over in an emergency.
+    /// Share of one engine's memory that layers may take when the range of a lost engine is shared out. What is left holds
+    /// the KV cache of some tens of streams.
     double emergencyShare = 0.85;
+    /// Cost of a full engine against that of loading one layer, when ranges are cut anew: an engine at twice the usual
+    /// fill takes half as many streams, and with it the whole chain.
+    double fillCost = 3;
 };
 
 /// Orders that bring the engines to the plan; empty if nothing needs to change.
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -36,6 +36,15 @@
     {
         return m_isOver;
     }
+    const std::vector<ChainPart> &chain() const override
+    {
+        static const std::vector<ChainPart> none;
+        return none;
+    }
+    TimePoint progressAt() const override
+    {
+        return m_request.exchange->receivedAt();
+    }
 
 private:
     Target *chooseTarget();
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -44,8 +44,9 @@
     Fleet fleet{};
     std::shared_ptr<const RouteTable> routes{}; ///< in force; null until one is known
     std::unordered_map<ServiceName, RetryBudget> retryBudgets{};
-    std::mt19937_64 random{std::random_device{}()};
+    std::mt19937_64 random{};   ///< seeded by the id and the start, so that a run can be repeated
     RelayMetrics metrics{};
+    double usualGapMs = 50;     ///< moving average of the time between two events of a stream
     int liveEntries = 1; ///< entries that share the retry budget, this one included
 };
 
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -76,6 +76,8 @@
     /// Fails with the step "decode report".
     virtual Result<EngineReport> decodeReport(std::string_view bytes) const = 0;
     virtual HttpClientRequest placeRequest(const PlaceOrder &order) const = 0;
+    /// Order to a first engine: a running request goes on through another chain with the same first part.
+    virtual HttpClientRequest moveRequest(const std::string &attemptId, const std::vector<ChainPart> &chain) const = 0;
     /// Value of the chain header.
     virtual std::string encodeChain(const std::vector<ChainPart> &chain) const = 0;
 
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -7,6 +7,9 @@
 
 constexpr milliseconds probeTick{100};    ///< how often engines due for a question are looked for
 constexpr milliseconds probeTimeout{400}; ///< a report needs no slot: an engine that lives answers within milliseconds
+/// For an engine that no stream has come through for a while: a stream that is moved after this time is often still on
+/// time, and an engine wrongly taken for dead costs reading some prompts anew.
+constexpr milliseconds suspectTimeout{60};
 
 struct EngineProber::Private {
     RelayContext &context;
@@ -15,7 +18,7 @@
     std::unique_ptr<Timer> tick{};
     std::set<TargetId> asked{}; ///< answers awaited
 
-    void ask(const TargetId &id);
+    void ask(const TargetId &id, milliseconds timeout);
     void askFailed();
     void takeAnswer(const TargetId &id, const HttpResult &result);
     void takeReport(Target &target, const EngineReport &report);
@@ -39,7 +42,12 @@
 
 void EngineProber::ask(const TargetId &id)
 {
-    d->ask(id);
+    d->ask(id, probeTimeout);
+}
+
+void EngineProber::askSuspect(const TargetId &id)
+{
+    d->ask(id, suspectTimeout);
 }
 
 void EngineProber::Private::askFailed()
@@ -47,12 +55,12 @@
     const TimePoint now = context.clock.now();
     for (const auto &[id, target] : context.fleet.targets) {
         if (target.needsProbe && now >= target.avoidUntil) {
-            ask(id);
+            ask(id, probeTimeout);
         }
     }
 }
 
-void EngineProber::Private::ask(const TargetId &id)
+void EngineProber::Private::ask(const TargetId &id, milliseconds timeout)
 {
     const Target *target = findTarget(context.fleet, id);
     if (!target || !asked.insert(id).second) {
@@ -60,7 +68,7 @@
     }
     ++context.metrics.probes;
     HttpClientRequest request = context.dialect.reportRequest();
-    request.timeout = probeTimeout;
+    request.timeout = timeout;
     client.fetch(target->listed.address, std::move(request), [this, id](const HttpResult &result) {
         asked.erase(id);
         takeAnswer(id, result);
--- a/src/relay/engine_prober.h
+++ b/src/relay/engine_prober.h
@@ -26,6 +26,8 @@
     void start();
     /// Asks an engine now, unless it is being asked.
     void ask(const TargetId &id);
+    /// Asks an engine that streams seem to wait for; it counts as dead after a far shorter time.
+    void askSuspect(const TargetId &id);
 
 private:
     struct Private;
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -40,6 +40,10 @@
     /// A target was found to be dead: what waits for it is moved.
     virtual void noteDeadTarget(const TargetId &id) = 0;
     virtual bool isOver() const = 0;
+    /// Engines that the request passes through now; empty if it waits for no engine.
+    virtual const std::vector<ChainPart> &chain() const = 0;
+    /// When it last got on: the start of the attempt or its last event.
+    virtual TimePoint progressAt() const = 0;
 };
 using ForwardingPtr = std::shared_ptr<Forwarding>;
 
@@ -50,8 +54,13 @@
 struct ForwardingHooks {
     /// Asks the first engine of a chain which engine its requests wait for.
     std::function<void(const TargetId &first)> askForStalls;
+    /// Tells a request's first engine to go on through another chain; calls back whether it does.
+    std::function<void(const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done)> moveStream;
 };
 
+/// A stream without an event for this long has stalled: a small multiple of the usual gap, as gaps are even within a chain.
+milliseconds stallThreshold(const RelayContext &context);
+
 ForwardingPtr makeForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks);
 
 } // namespace Parsleytrail
--- a/src/relay/lease_keeper.cpp
+++ b/src/relay/lease_keeper.cpp
@@ -37,6 +37,7 @@
     TimePoint sentAt{};           ///< of the call on its way
     TimePoint heldUntil{};        ///< own clock; past: not held
     bool wasHeld = false;
+    bool isReleased = false;      ///< this entry is stopping: it does not take the lease any more
 
     void send(HttpClientRequest request, bool isWrite);
     void read();
@@ -82,6 +83,7 @@
 void LeaseKeeper::release()
 {
     d->next->stop();
+    d->isReleased = true;
     if (isHeld()) {
         d->write(0);
         d->heldUntil = TimePoint();
@@ -142,7 +144,9 @@
                                error);
     if (!isDecoded) {
         // The write may have been done: reading tells.
-        next->start(retryPause);
+        if (!isReleased) {
+            next->start(retryPause);
+        }
         return noteChange();
     }
     storeTimeMs = page.storeTimeMs;
@@ -152,7 +156,9 @@
         row.holder = context.settings.id;
         heldUntil = row.endsAtMs > 0 ? sentAt + leaseTime - leaseMargin : TimePoint();
         noteChange();
-        next->start(renewAfter);
+        if (!isReleased) {
+            next->start(renewAfter);
+        }
         return;
     }
     heldUntil = isConflict ? TimePoint() : heldUntil;
@@ -178,8 +184,13 @@
 /// After a reading: takes a lease that has ended, or waits until it should have.
 void LeaseKeeper::Private::decide()
 {
+    if (isReleased) {
+        return;
+    }
+    // A lease under this entry's own id that it does not hold is one of its life before: that process is gone.
+    const bool isOwn = row.holder == context.settings.id;
     const std::int64_t left = row.endsAtMs - storeTime();
-    if (left <= 0) {
+    if (left <= 0 || isOwn) {
         return write(storeTime() + leaseTime.count());
     }
     std::uniform_int_distribution<std::int64_t> spread(0, takeoverSpread.count());
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -113,6 +113,7 @@
         engine.dataCenter = target.listed.dataCenter;
         engine.kind = target.listed.accelerator;
         engine.layers = target.listed.layers;
+        engine.held = target.listed.layers;
         engine.isLeaving = target.listed.isDraining || target.failuresInRow >= failuresUntilLost;
         const auto order = pending.find(id);
         if (order != pending.end()) {
@@ -184,7 +185,7 @@
 void PlacementDuty::Private::takeAnswer(const TargetId &id, const HttpResult &result)
 {
     const std::string outcome = result.failure ? result.failure->error.text : std::to_string(result.status);
-    logEvent(Event::OrderAnswered, {{"target", id.value}, {"outcome", outcome}, {"body", result.isOk() ? std::string() : result.body.substr(0, 200)}});
+    logEvent(Event::OrderAnswered, {{"target", id.value}, {"outcome", outcome}, {"body", result.body.substr(0, 200)}});
     const auto order = pending.find(id);
     if (order == pending.end()) {
         return;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,6 +1,7 @@
 // Index: [SECTION] State, [SECTION] Requests, [SECTION] Readiness, [SECTION] Duty, [SECTION] Start and stop, [SECTION] Dump
 #include "relay/relay.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 #include "base/text.h"
 #include "http/client.h"
@@ -16,6 +17,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace Parsleytrail
@@ -34,6 +36,11 @@
 /// Entries assumed until they are heard of: the retry budget is shared among them.
 constexpr int assumedEntries = 4;
 
+/// A stalled stream's engines are asked for this long after the threshold; later its first engine is asked what it waits for.
+constexpr milliseconds suspectWindow{60};
+/// A first engine answers an order to move a stream at once.
+constexpr milliseconds moveTimeout{150};
+
 struct Relay::Private {
     RelayContext context;
     HttpClient client;
@@ -61,6 +68,8 @@
     void forward(ForwardedRequest request);
     void takeRoutes();
     void checkForwardings();
+    void askSuspects(const std::vector<ForwardingPtr> &open, TimePoint now);
+    void moveStream(const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done);
     void moveFrom(const TargetId &dead);
     bool isReady();
     bool mayOrder();
@@ -156,6 +165,48 @@
         }
     }
     context.metrics.openRequests = static_cast<double>(forwardings.size());
+    askSuspects(open, now);
+}
+
+/// Asks the engines that may be what a stalled stream waits for: those of its chain through which no other stream got on
+/// since. Any of them that does not answer is dead.
+void Relay::Private::askSuspects(const std::vector<ForwardingPtr> &open, TimePoint now)
+{
+    const milliseconds threshold = stallThreshold(context);
+    std::vector<Forwarding *> stalled;
+    for (const ForwardingPtr &forwarding : open) {
+        const bool isStalled = !forwarding->isOver() && !forwarding->chain().empty() && now - forwarding->progressAt() >= threshold;
+        if (isStalled && now - forwarding->progressAt() < threshold + suspectWindow) {
+            stalled.push_back(forwarding.get());
+        }
+    }
+    if (stalled.empty()) {
+        return;
+    }
+    std::map<TargetId, TimePoint> passedAt;
+    for (const ForwardingPtr &forwarding : open) {
+        for (const ChainPart &part : forwarding->chain()) {
+            TimePoint &at = passedAt[part.id];
+            at = std::max(at, forwarding->progressAt());
+        }
+    }
+    for (const Forwarding *forwarding : stalled) {
+        for (const ChainPart &part : forwarding->chain()) {
+            if (now - passedAt[part.id] >= threshold) {
+                prober->askSuspect(part.id);
+            }
+        }
+    }
+}
+
+void Relay::Private::moveStream(const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done)
+{
+    ++context.metrics.orders;
+    HttpClientRequest request = context.dialect.moveRequest(attemptId, chain);
+    request.timeout = moveTimeout;
+    client.fetch(chain.front().address, std::move(request), [done = std::move(done)](const HttpResult &result) {
+        done(result.isOk());
+    });
 }
 
 void Relay::Private::moveFrom(const TargetId &dead)
@@ -235,6 +286,7 @@
 {
     Private &data = *d;
     data.context.liveEntries = assumedEntries;
+    data.context.random.seed(hash64(settings.id, incarnationNow(clock).value));
     data.sessions = std::make_unique<CallerSessions>(loop, clock, [&data](const CallerExchangePtr &exchange) {
         data.takeRequest(exchange);
     });
@@ -256,6 +308,9 @@
         data.planSoon();
     };
     data.prober = std::make_unique<EngineProber>(data.context, data.client, std::move(onProbe));
+    data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done) {
+        data.moveStream(attemptId, chain, std::move(done));
+    };
     data.hooks.askForStalls = [&data](const TargetId &first) {
         data.prober->ask(first);
     };
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -1,6 +1,7 @@
 // Forwarding to engines: a chain for each attempt, events passed on one by one, resumed where they broke off.
 #include "relay/forwarded_request.h"
 
+#include "base/log.h"
 #include "base/text.h"
 
 #include <algorithm>
@@ -19,6 +20,14 @@
 constexpr milliseconds eventStall{350};
 /// The same before the first event, when the prompt is read piece by piece between the passes of others.
 constexpr milliseconds firstEventStall{900};
+/// A stalled stream's gap counts as this much at most, so that stalls do not make stalls look usual.
+constexpr double maxUsualGapMs = 250;
+/// Shortest and longest time without an event that counts as a stall; a stream is late after some 200 ms, and asking all
+/// engines of its chain costs little. In calm times 99 of 100 streams have no gap over 105 ms.
+constexpr double minStallMs = 90;
+constexpr double maxStallMs = 350;
+/// Stall threshold as a multiple of the usual gap.
+constexpr double stallFactor = 1.9;
 /// How often a stalled stream's first engine is asked again.
 constexpr milliseconds stallQuestionInterval{250};
 /// After this many stall times without an event, the stream is moved though nobody knows which engine is at fault.
@@ -29,6 +38,11 @@
 constexpr milliseconds roomRetryAfter{800};
 constexpr milliseconds roomRetrySpread{1200};
 
+milliseconds stallThreshold(const RelayContext &context)
+{
+    return milliseconds(static_cast<std::int64_t>(std::clamp(context.usualGapMs * stallFactor, minStallMs, maxStallMs)));
+}
+
 class StreamForwarding final : public Forwarding
 {
 public:
@@ -46,10 +60,22 @@
     {
         return m_isOver;
     }
+    const std::vector<ChainPart> &chain() const override
+    {
+        return m_chain;
+    }
+    TimePoint progressAt() const override
+    {
+        return m_progressAt;
+    }
 
 private:
     void readDemand();
+    ChainSituation situationNow() const;
     void startAttempt();
+    bool startMove(const TargetId &dead);
+    void takeMove(bool isMoved, int move);
+    void moveAway(std::string_view reason);
     void refuseWithoutChain(const ChainSituation &situation);
     void reserve(int direction);
     void takeHead(const HttpHead &head);
@@ -93,6 +119,7 @@
     bool m_hasEvents = false;  ///< this attempt has brought events
     bool m_isReserved = false;
     bool m_isOver = false;
+    int m_moves = 0;                 ///< times the running request was given another chain
     bool m_sawGap = false; ///< an event was missing: this attempt can't be passed on
 };
 
@@ -161,7 +188,7 @@
     end();
 }
 
-void StreamForwarding::startAttempt()
+ChainSituation StreamForwarding::situationNow() const
 {
     ChainSituation situation;
     situation.model = &*m_request.service->engine;
@@ -169,6 +196,12 @@
     situation.dataCenter = m_context.settings.dataCenter;
     situation.now = m_context.clock.now();
     situation.excluded = m_excluded;
+    return situation;
+}
+
+void StreamForwarding::startAttempt()
+{
+    const ChainSituation situation = situationNow();
     std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random);
     if (chain.empty()) {
         return refuseWithoutChain(situation);
@@ -277,7 +310,10 @@
         m_request.exchange->begin(m_exchange->head(), nullptr);
     } else {
         m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<milliseconds>(now - m_eventAt));
-        m_context.metrics.eventGap.record(std::chrono::duration<double>(now - m_eventAt).count());
+        const double gap = std::chrono::duration<double>(now - m_eventAt).count();
+        m_context.metrics.eventGap.record(gap);
+        constexpr double newShare = 0.02; // an average over the last fifty events: a second or less
+        m_context.usualGapMs += newShare * (std::min(gap * 1000, maxUsualGapMs) - m_context.usualGapMs);
     }
     m_eventAt = now;
     m_request.exchange->send(event.bytes);
@@ -375,21 +411,74 @@
     end();
 }
 
+/// Lets the first engine go on through engines that live: what the others have read stays, and the caller sees a short pause.
+/// Returns false if there is no such chain.
+bool StreamForwarding::startMove(const TargetId &dead)
+{
+    const bool isFirst = m_chain.front().id == dead;
+    if (isFirst || !m_hooks.moveStream) {
+        return false;
+    }
+    ChainSituation situation = situationNow();
+    situation.current = m_chain;
+    reserve(-1);
+    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random);
+    if (chain.empty()) {
+        reserve(+1);
+        return false;
+    }
+    m_chain = std::move(chain);
+    reserve(+1);
+    m_progressAt = situation.now;
+    const int move = ++m_moves;
+    m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move](bool isMoved) {
+        if (const auto self = weak.lock()) {
+            takeMove(isMoved, move);
+        }
+    });
+    return true;
+}
+
+void StreamForwarding::takeMove(bool isMoved, int move)
+{
+    if (m_isOver || move != m_moves) {
+        return;
+    }
+    logEvent(Event::StreamMoved, {{"id", m_request.attemptId},
+                                  {"chain", m_context.dialect.encodeChain(m_chain)},
+                                  {"outcome", isMoved ? "moved" : "refused"},
+                                  {"event", std::to_string(m_lastEvent)},
+                                  {"gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_context.clock.now() - m_eventAt).count())}});
+    if (!isMoved) {
+        moveAway("engine of the chain is dead");
+    }
+}
+
 void StreamForwarding::noteDeadTarget(const TargetId &id)
 {
     const bool isConcerned = !m_isOver && std::any_of(m_chain.begin(), m_chain.end(), [&](const ChainPart &part) {
         return part.id == id;
     });
-    const TimePoint now = m_context.clock.now();
-    const bool isWaiting = now - m_progressAt > eventStall / 2;
-    if (!isConcerned || !isWaiting || !canRepeat()) {
+    const bool isWaiting = m_context.clock.now() - m_progressAt >= stallThreshold(m_context) / 2;
+    if (!isConcerned || !isWaiting) {
+        return;
+    }
+    m_excluded.insert(id);
+    if (!startMove(id)) {
+        moveAway("engine of the chain is dead");
+    }
+}
+
+/// Begins again after the last event at another chain, if that may be.
+void StreamForwarding::moveAway(std::string_view reason)
+{
+    if (!canRepeat() || m_sent > m_request.route->maxAttempts) {
         return;
     }
     if (!m_isStream) {
         ++m_sent;
     }
-    m_excluded.insert(id);
-    retryOrEnd("engine of the chain is dead", true);
+    retryOrEnd(reason, true);
 }
 
 void StreamForwarding::checkTime(TimePoint now)
@@ -407,14 +496,11 @@
     }
     m_askedAt = now;
     m_hooks.askForStalls(m_chain.front().id);
-    if (now - m_progressAt > stall * stallsUntilMove && canRepeat() && m_sent < m_request.route->maxAttempts) {
-        if (!m_isStream) {
-            ++m_sent;
-        }
+    if (now - m_progressAt > stall * stallsUntilMove && m_sent < m_request.route->maxAttempts) {
         for (const ChainPart &part : m_chain) {
             m_excluded.insert(part.id);
         }
-        retryOrEnd("no event for long", true);
+        moveAway("no event for long");
     }
 }
 
