All engines of a group with a gap change at once; newcomers are kept free for what leaves next

Cause: engines that had to give layers up waited for others to hold them, so that cuts of two rounds undid each other (a data centre short of 3 layers for 24 s); an engine that came as a replacement was given other layers a second before the old one left.

--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -5,11 +5,13 @@
 namespace Parsleytrail
 {
 
-bool noteListed(Fleet &fleet, const ListedTarget &listed)
+bool noteListed(Fleet &fleet, const ListedTarget &listed, TimePoint now)
 {
     const auto it = fleet.targets.find(listed.id);
     if (it == fleet.targets.end()) {
-        fleet.targets[listed.id].listed = listed;
+        Target &added = fleet.targets[listed.id];
+        added.listed = listed;
+        added.listedAt = now;
         return true;
     }
     Target &known = it->second;
@@ -22,6 +24,7 @@
         // Failures and orders of the start before say nothing of this one; open requests end by themselves.
         known = Target();
         known.openRequests = openRequests;
+        known.listedAt = now;
     }
     known.listed = listed;
     return true;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -54,6 +54,7 @@
 /// A target with what this process has seen of it.
 struct Target {
     ListedTarget listed;              ///< newest entry of the registry
+    TimePoint listedAt{}; ///< when this start of it was first listed
     TimePoint avoidUntil{};           ///< gets no work before, after a failure
     int failuresInRow = 0;            ///< requests that failed since the last that did not
     bool needsProbe = false;          ///< gets no work before it has answered a question, besides avoidUntil
@@ -72,7 +73,7 @@
 
 /// Adds or updates a target. A later start of the same id is a new target: what was seen of the old one is forgotten.
 /// Returns false if the entry tells of an earlier start than the known one, and ignores it.
-bool noteListed(Fleet &fleet, const ListedTarget &listed);
+bool noteListed(Fleet &fleet, const ListedTarget &listed, TimePoint now);
 void noteRemoved(Fleet &fleet, const TargetId &id);
 
 Target *findTarget(Fleet &fleet, const TargetId &id);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -145,24 +145,40 @@
     orders.push_back({engine.id, layers, reason});
 }
 
-/// Gives the start of a gap to the empty engine with most room; returns the layers taken.
-static int fillWithEmptyEngine(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
-                               std::vector<PlacementOrder> &orders)
+/// Whether an engine holds nothing that only it holds.
+static bool isFree(const PlacedEngine &engine, const std::vector<int> &copies)
+{
+    for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
+        if (copies[layer] < 2) {
+            return false;
+        }
+    }
+    return !engine.isLeaving;
+}
+
+/// Gives the start of a gap to an engine that is empty or whose layers others hold too; returns the layers taken. One
+/// that takes the whole gap goes first, the smallest of these; else the largest.
+static int fillWithFreeEngine(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
+                              std::vector<PlacementOrder> &orders)
 {
     PlacedEngine *best = nullptr;
+    int bestRank = 0;
     for (PlacedEngine &engine : group) {
-        const bool isFree = !engine.isLeaving && engine.layers.count() == 0;
-        if (isFree && (!best || memoryOf(model, engine) > memoryOf(model, *best))) {
+        const int room = layersThatFit(model, engine, tuning.emergencyShare);
+        if (room == 0 || !isFree(engine, copies)) {
+            continue;
+        }
+        const int rank = room >= gap.count() ? model.layers * 2 - room : room;
+        if (!best || rank > bestRank) {
             best = &engine;
+            bestRank = rank;
         }
     }
     if (!best) {
         return 0;
     }
     const int count = std::min(gap.count(), layersThatFit(model, *best, tuning.emergencyShare));
-    if (count > 0) {
-        assign(*best, {gap.from, gap.from + count}, "gap filled by an empty engine", copies, orders);
-    }
+    assign(*best, {gap.from, gap.from + count}, "gap filled by a free engine", copies, orders);
     return count;
 }
 
@@ -209,32 +225,9 @@
     return ranges;
 }
 
-/// Holders of each layer that hold it now and will keep it.
-static std::vector<int> lastingCopies(const EngineModel &model, const EngineGroup &group)
-{
-    EngineGroup lasting = group;
-    for (PlacedEngine &engine : lasting) {
-        engine.layers = {std::max(engine.layers.from, engine.held.from), std::min(engine.layers.to, engine.held.to)};
-    }
-    return copiesOfLayers(model, lasting);
-}
-
-/// Whether an engine may give up the layers that its new range lacks: others hold them already.
-static bool mayTake(const PlacedEngine &engine, LayerRange layers, const std::vector<int> &lasting)
-{
-    const LayerRange kept{std::max(engine.layers.from, engine.held.from), std::min(engine.layers.to, engine.held.to)};
-    for (int layer = kept.from; layer < kept.to; ++layer) {
-        const bool isGivenUp = layer < layers.from || layer >= layers.to;
-        if (isGivenUp && lasting[layer] < 2) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/// Cuts the ranges of a group with gaps anew. Engines that only grow do so at once; those that give layers up wait until
-/// the plans of the next rounds find these held elsewhere. Returns false if the engines can't cover the layers.
-static bool recut(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<int> &copies, std::vector<PlacementOrder> &orders)
+/// Cuts the ranges of a group with gaps anew. All engines change at once, also those that give up layers which nobody else
+/// holds yet: the group has no whole chain anyway, and one load later it has.
+static void recut(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<int> &copies, std::vector<PlacementOrder> &orders)
 {
     EngineGroup chain;
     for (const PlacedEngine &engine : group) {
@@ -250,12 +243,10 @@
         PlacedEngine &engine = *std::find_if(group.begin(), group.end(), [&](const PlacedEngine &other) {
             return other.id == chain[i].id;
         });
-        const std::vector<int> lasting = lastingCopies(model, group);
-        if (ranges[i].count() > 0 && ranges[i] != engine.layers && mayTake(engine, ranges[i], lasting)) {
+        if (ranges[i].count() > 0 && ranges[i] != engine.layers) {
             assign(engine, ranges[i], "gap shared out", copies, orders);
         }
     }
-    return !ranges.empty();
 }
 
 /// Gives each engine that is still empty the part of the model with the fewest copies.
@@ -264,7 +255,7 @@
 {
     for (PlacedEngine &engine : group) {
         const int count = layersThatFit(model, engine, tuning.layerShare);
-        if (engine.isLeaving || engine.layers.count() > 0 || count == 0) {
+        if (engine.isLeaving || engine.isNew || engine.layers.count() > 0 || count == 0) {
             continue;
         }
         int bestFrom = 0;
@@ -287,7 +278,7 @@
 {
     std::vector<int> copies = copiesOfLayers(model, group);
     std::vector<LayerRange> gaps = gapsOf(copies);
-    while (!gaps.empty() && fillWithEmptyEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
+    while (!gaps.empty() && fillWithFreeEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
         gaps = gapsOf(copies);
     }
     if (!gaps.empty()) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -22,7 +22,7 @@
     std::string dataCenter; ///< where it stands
     std::string kind;       ///< kind of accelerator
     LayerRange layers;      ///< ordered, or held if nothing is on its way; empty: none
-    LayerRange held;        ///< held now, as last reported
+    bool isNew = false;     ///< came a moment ago: kept free for the layers of the engine that it may replace
     bool isLeaving = false; ///< draining: what it holds is about to be lost
 };
 
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -17,6 +17,9 @@
 /// Before the first plan the list of engines must not have grown for this long: a plan for half of them would cut the
 /// model into pieces too large. Engines register within a heartbeat of their start.
 constexpr milliseconds settleTime{1500};
+/// When engines are replaced, the new one comes first and the old one leaves a moment later: the new one is kept free for
+/// its layers this long, as loading other layers first would take as long again.
+constexpr milliseconds newcomerTime{3000};
 /// Failures in a row after which an engine's layers count as lost: one may be a connection, three in a row are seconds.
 constexpr int failuresUntilLost = 2;
 
@@ -45,7 +48,7 @@
     void plan();
     void planService(const ServiceSpec &service, TimePoint now);
     bool isSettled(const ServiceSpec &service, const std::vector<PlacedEngine> &engines, TimePoint now);
-    std::vector<PlacedEngine> enginesOf(const ServiceSpec &service);
+    std::vector<PlacedEngine> enginesOf(const ServiceSpec &service, TimePoint now);
     void followOrders(TimePoint now);
     void send(const PlacementOrder &order, TimePoint now);
     void takeAnswer(const TargetId &id, const HttpResult &result);
@@ -101,7 +104,7 @@
     }
 }
 
-std::vector<PlacedEngine> PlacementDuty::Private::enginesOf(const ServiceSpec &service)
+std::vector<PlacedEngine> PlacementDuty::Private::enginesOf(const ServiceSpec &service, TimePoint now)
 {
     std::vector<PlacedEngine> engines;
     for (const auto &[id, target] : context.fleet.targets) {
@@ -113,7 +116,7 @@
         engine.dataCenter = target.listed.dataCenter;
         engine.kind = target.listed.accelerator;
         engine.layers = target.listed.layers;
-        engine.held = target.listed.layers;
+        engine.isNew = now - target.listedAt < newcomerTime;
         engine.isLeaving = target.listed.isDraining || target.failuresInRow >= failuresUntilLost;
         const auto order = pending.find(id);
         if (order != pending.end()) {
@@ -144,7 +147,7 @@
 
 void PlacementDuty::Private::planService(const ServiceSpec &service, TimePoint now)
 {
-    const std::vector<PlacedEngine> engines = enginesOf(service);
+    const std::vector<PlacedEngine> engines = enginesOf(service, now);
     if (engines.empty() || !isSettled(service, engines, now)) {
         return;
     }
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -209,7 +209,7 @@
     removals.erase(row.key);
     const Target *known = findTarget(context.fleet, listed.id);
     const bool isChange = !known || known->listed != listed;
-    if (!noteListed(context.fleet, listed) || !isChange) {
+    if (!noteListed(context.fleet, listed, context.clock.now()) || !isChange) {
         return;
     }
     logEvent(Event::TargetListed, {{"target", listed.id.value},
