--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -153,7 +153,7 @@
             return false;
         }
     }
-    return !engine.isLeaving;
+    return !engine.isLeaving && !engine.isFixed;
 }
 
 /// Gives the start of a gap to an engine that is empty or whose layers others hold too; returns the layers taken. One
@@ -187,7 +187,8 @@
 {
     const int kept = std::max(0, std::min(layers.to, engine.layers.to) - std::max(layers.from, engine.layers.from));
     const double fill = layers.count() * model.layerMb / memoryOf(model, engine) / tuning.layerShare;
-    return (layers.count() - kept) + tuning.fillCost * std::pow(fill, 4);
+    const int givenUp = engine.layers.count() - kept;
+    return (layers.count() - kept) + tuning.fillCost * std::pow(fill, 4) + tuning.giveUpCost * givenUp;
 }
 
 /// The cheapest way to cover all layers by the engines in the order of their ranges: each takes the layers where the one
@@ -200,11 +201,17 @@
     std::vector<int> cameFrom((chain.size() + 1) * width, 0);
     cost[0] = 0;
     for (std::size_t i = 0; i < chain.size(); ++i) {
-        const int most = layersThatFit(model, chain[i], tuning.emergencyShare);
+        const int most = chain[i].isFixed ? model.layers : layersThatFit(model, chain[i], tuning.emergencyShare);
         for (int from = 0; from <= model.layers; ++from) {
             const double base = cost[i * width + from];
             for (int to = from; base < unreachable && to <= std::min(model.layers, from + most); ++to) {
-                const double total = base + (to > from ? rangeCost(model, chain[i], {from, to}, tuning) : 0);
+                // An engine that can't be ordered now serves from where the one before it ends to its own end, or not at all.
+                const bool isOwnRest = from >= chain[i].layers.from && to == chain[i].layers.to;
+                if (chain[i].isFixed && to > from && !isOwnRest) {
+                    continue;
+                }
+                const bool isFree = to == from || chain[i].isFixed;
+                const double total = base + (isFree ? 0 : rangeCost(model, chain[i], {from, to}, tuning));
                 if (total < cost[(i + 1) * width + to]) {
                     cost[(i + 1) * width + to] = total;
                     cameFrom[(i + 1) * width + to] = from;
@@ -243,7 +250,7 @@
         PlacedEngine &engine = *std::find_if(group.begin(), group.end(), [&](const PlacedEngine &other) {
             return other.id == chain[i].id;
         });
-        if (ranges[i].count() > 0 && ranges[i] != engine.layers) {
+        if (!engine.isFixed && ranges[i].count() > 0 && ranges[i] != engine.layers) {
             assign(engine, ranges[i], "gap shared out", copies, orders);
         }
     }
@@ -255,7 +262,7 @@
 {
     for (PlacedEngine &engine : group) {
         const int count = layersThatFit(model, engine, tuning.layerShare);
-        if (engine.isLeaving || engine.isNew || engine.layers.count() > 0 || count == 0) {
+        if (engine.isLeaving || engine.isNew || engine.isFixed || engine.layers.count() > 0 || count == 0) {
             continue;
         }
         int bestFrom = 0;
@@ -281,6 +288,13 @@
     while (!gaps.empty() && fillWithFreeEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
         gaps = gapsOf(copies);
     }
+    const bool isChanging = std::any_of(group.begin(), group.end(), [](const PlacedEngine &engine) {
+        return engine.isFixed;
+    });
+    // A cut around engines that can't be ordered now would move most of the others; theirs are done within seconds.
+    if (!gaps.empty() && isChanging) {
+        return;
+    }
     if (!gaps.empty()) {
         recut(model, group, tuning, copies, orders);
         return;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -22,6 +22,7 @@
     std::string dataCenter; ///< where it stands
     std::string kind;       ///< kind of accelerator
     LayerRange layers;      ///< ordered, or held if nothing is on its way; empty: none
+    bool isFixed = false;   ///< an order is being carried out: takes no other before it is done
     bool isNew = false;     ///< came a moment ago: kept free for the layers of the engine that it may replace
     bool isLeaving = false; ///< draining: what it holds is about to be lost
 };
@@ -46,6 +47,9 @@
     /// Cost of a full engine against that of loading one layer, when ranges are cut anew: an engine at twice the usual
     /// fill takes half as many streams, and with it the whole chain.
     double fillCost = 3;
+    /// Cost of giving up a layer, against that of loading one: nobody else holds it, so that chains that work break, and the
+    /// engine takes new layers only when the streams that pass through it have ended.
+    double giveUpCost = 0.5;
 };
 
 /// Orders that bring the engines to the plan; empty if nothing needs to change.
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -70,16 +70,24 @@
     return bytes;
 }
 
+milliseconds clampedRetryAfter(milliseconds wanted, milliseconds left)
+{
+    constexpr double usablePart = 0.3; // callers wait for up to a third of the time they have left
+    const milliseconds most{static_cast<std::int64_t>(static_cast<double>(left.count()) * usablePart)};
+    return std::clamp(wanted, milliseconds(1), std::max(most, milliseconds(1)));
+}
+
 void refuseRequest(RelayContext &context, const ForwardedRequest &request, const Refusal &refusal, int attempts)
 {
     ++context.metrics.refused;
-    const double seconds = static_cast<double>(refusal.retryAfter.count()) / 1000;
+    const milliseconds retryAfter = clampedRetryAfter(refusal.retryAfter, std::chrono::duration_cast<milliseconds>(request.deadline - context.clock.now()));
+    const double seconds = static_cast<double>(retryAfter.count()) / 1000;
     logEvent(Event::RequestRefused, {{"id", request.attemptId},
                                      {"route", request.route->name},
                                      {"workspace", request.workspace.value},
                                      {"reason", std::string(refusal.reason)},
                                      {"attempts", std::to_string(attempts)},
-                                     {"retry_after_ms", std::to_string(refusal.retryAfter.count())},
+                                     {"retry_after_ms", std::to_string(retryAfter.count())},
                                      {"held_ms", millisecondsText(request.exchange->receivedAt(), context.clock.now())},
                                      {"configuration", versionText(request)}});
     request.exchange->reply(503, {{"Retry-After", absl::StrCat(seconds)}}, refusal.reason);
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -31,6 +31,8 @@
 /// are left out.
 std::string requestBytes(const RelayContext &context, const ForwardedRequest &request, const TargetId &target, const std::vector<AddedField> &added);
 
+/// A time after which a caller that still waits for `left` can come back: one told a longer time does not come back at all.
+milliseconds clampedRetryAfter(milliseconds wanted, milliseconds left);
 /// Refuses a request that has certainly not run and will not: 503 with Retry-After.
 void refuseRequest(RelayContext &context, const ForwardedRequest &request, const Refusal &refusal, int attempts);
 /// Answers a request that may have run: 504 if its time is up, else 502; cuts the answer if it was begun.
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace Parsleytrail
 {
@@ -39,6 +40,8 @@
     HttpClient &client;
     EngineProber &prober;
     std::function<bool()> isHeld;
+    std::function<bool()> mayListBeShort;
+    std::set<ServiceName> settled{}; ///< services whose list of engines was whole once
     std::unique_ptr<Timer> tick{};
     std::map<TargetId, PendingOrder> pending{};
     std::map<TargetId, TimePoint> refusedAt{};         ///< engines whose last order was not taken
@@ -49,13 +52,14 @@
     void planService(const ServiceSpec &service, TimePoint now);
     bool isSettled(const ServiceSpec &service, const std::vector<PlacedEngine> &engines, TimePoint now);
     std::vector<PlacedEngine> enginesOf(const ServiceSpec &service, TimePoint now);
+    bool seesMostEngines(const ServiceSpec &service) const;
     void followOrders(TimePoint now);
     void send(const PlacementOrder &order, TimePoint now);
     void takeAnswer(const TargetId &id, const HttpResult &result);
 };
 
-PlacementDuty::PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld)
-    : d(std::make_unique<Private>(Private{context, client, prober, std::move(isHeld)}))
+PlacementDuty::PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld, std::function<bool()> mayListBeShort)
+    : d(new Private{context, client, prober, std::move(isHeld), std::move(mayListBeShort)})
 {
     d->tick = std::make_unique<Timer>(context.loop, [this] {
         d->plan();
@@ -76,11 +80,20 @@
 
 void PlacementDuty::Private::plan()
 {
-    if (!context.routes || !isHeld()) {
-        pending.clear();
+    if (!context.routes) {
         return;
     }
     const TimePoint now = context.clock.now();
+    if (!isHeld()) {
+        pending.clear();
+        // Whether the list is whole is followed all the time, so that a new holder need not wait.
+        for (const auto &[name, service] : context.routes->services) {
+            if (service.engine) {
+                isSettled(service, enginesOf(service, now), now);
+            }
+        }
+        return;
+    }
     followOrders(now);
     for (const auto &[name, service] : context.routes->services) {
         if (service.engine) {
@@ -104,8 +117,25 @@
     }
 }
 
+/// Whether few enough engines fail that the fault is theirs. An entry that is cut off sees all of them fail; its orders
+/// would move the layers of engines that work.
+bool PlacementDuty::Private::seesMostEngines(const ServiceSpec &service) const
+{
+    int engines = 0;
+    int failed = 0;
+    for (const auto &[id, target] : context.fleet.targets) {
+        if (target.listed.service == service.name) {
+            ++engines;
+            failed += target.failuresInRow >= failuresUntilLost ? 1 : 0;
+        }
+    }
+    constexpr int mostFailedPart = 4; // a quarter: more than a rack, less than a data centre of three
+    return failed * mostFailedPart <= engines;
+}
+
 std::vector<PlacedEngine> PlacementDuty::Private::enginesOf(const ServiceSpec &service, TimePoint now)
 {
+    const bool trustsFailures = seesMostEngines(service);
     std::vector<PlacedEngine> engines;
     for (const auto &[id, target] : context.fleet.targets) {
         if (target.listed.service != service.name) {
@@ -117,10 +147,11 @@
         engine.kind = target.listed.accelerator;
         engine.layers = target.listed.layers;
         engine.isNew = now - target.listedAt < newcomerTime;
-        engine.isLeaving = target.listed.isDraining || target.failuresInRow >= failuresUntilLost;
+        engine.isLeaving = target.listed.isDraining || (trustsFailures && target.failuresInRow >= failuresUntilLost);
         const auto order = pending.find(id);
         if (order != pending.end()) {
             engine.layers = order->second.layers;
+            engine.isFixed = true;
         }
         engines.push_back(engine);
     }
@@ -135,14 +166,19 @@
     });
 }
 
+/// Whether the list of engines is whole: it has not grown for a while. After a start, and after the store was away, the
+/// list may lack engines that live; a plan without them would move layers that are where they belong.
 bool PlacementDuty::Private::isSettled(const ServiceSpec &service, const std::vector<PlacedEngine> &engines, TimePoint now)
 {
     std::size_t &count = engineCounts[service.name];
-    if (count != engines.size()) {
-        count = engines.size();
+    if (!settled.contains(service.name) && engines.size() > count) {
         grownAt[service.name] = now;
     }
-    return isStarted(engines) || now - grownAt[service.name] >= settleTime;
+    count = engines.size();
+    if (now - grownAt[service.name] >= settleTime) {
+        settled.insert(service.name);
+    }
+    return settled.contains(service.name) && !mayListBeShort();
 }
 
 void PlacementDuty::Private::planService(const ServiceSpec &service, TimePoint now)
@@ -152,8 +188,7 @@
         return;
     }
     for (const PlacementOrder &order : planPlacement(*service.engine, engines)) {
-        const auto known = pending.find(order.id);
-        const bool isOrdered = known != pending.end() && known->second.layers == order.layers;
+        const bool isOrdered = pending.contains(order.id);
         const Target *target = findTarget(context.fleet, order.id);
         const bool isPausing = refusedAt.contains(order.id) && now - refusedAt[order.id] < refusalPause;
         if (isOrdered || isPausing || !target || !isUsable(*target, now)) {
--- a/src/relay/placement_duty.h
+++ b/src/relay/placement_duty.h
@@ -19,8 +19,8 @@
 class PlacementDuty
 {
 public:
-    /// `isHeld` tells whether this entry may order.
-    PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld);
+    /// `isHeld` tells whether this entry may order; `mayListBeShort` whether engines that live may be missing in the fleet.
+    PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld, std::function<bool()> mayListBeShort);
     ~PlacementDuty();
     void start();
     /// Makes the plan anew without waiting for the next tick: an engine was lost, came or told what it holds.
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -90,6 +90,11 @@
     return d->context.routes && d->context.clock.now() - d->configuration->confirmedAt() < freshFor;
 }
 
+bool Registry::mayListBeShort() const
+{
+    return d->storeBackAt != TimePoint() && d->context.clock.now() < d->storeBackAt + lapsedEntryGrace;
+}
+
 bool Registry::isStoreLost() const
 {
     return d->isStoreAway;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -8,7 +8,7 @@
 #include "http/server.h"
 #include "relay/caller_session.h"
 #include "relay/engine_prober.h"
-#include "relay/forwarding.h"
+#include "relay/forwarded_request.h"
 #include "relay/lease_keeper.h"
 #include "relay/placement_duty.h"
 #include "relay/registry.h"
@@ -31,8 +31,10 @@
 /// Requests still open this long before the platform's kill are cut, so that the process ends by itself.
 constexpr milliseconds stopMargin{350};
 constexpr milliseconds drainTick{50};
-/// When a process that knows no configuration yet, or can't tell whether it is the newest, is expected to.
-constexpr milliseconds unknownRetryAfter{500};
+/// When a process that knows no configuration yet, or can't tell whether it is the newest, is expected to. The first
+/// answer of the store takes a fraction of a second, but callers come back once only, and may be early: a request that
+/// was refused is late in any case.
+constexpr milliseconds unknownRetryAfter{2000};
 /// Entries assumed until they are heard of: the retry budget is shared among them.
 constexpr int assumedEntries = 4;
 
@@ -79,6 +81,16 @@
 
 // [SECTION] Requests
 
+constexpr milliseconds longestDeadline = std::chrono::hours(1); ///< for callers that name none
+
+/// How long the caller waits, by its own word.
+static milliseconds callerDeadline(const RelayContext &context, const HttpHead &head)
+{
+    std::int64_t callerMs = longestDeadline.count();
+    parseNumber(head.find(context.dialect.headers().deadline), callerMs);
+    return milliseconds(std::clamp<std::int64_t>(callerMs, 0, longestDeadline.count()));
+}
+
 static void refuseEarly(RelayContext &context, const CallerExchangePtr &exchange, int status, const std::string &id, std::string_view reason,
                         milliseconds retryAfter)
 {
@@ -89,7 +101,8 @@
                                      {"status", std::to_string(status)},
                                      {"configuration", context.routes ? std::to_string(context.routes->version.value) : "none"}});
     if (retryAfter > milliseconds(0)) {
-        exchange->reply(status, {{"Retry-After", std::to_string(static_cast<double>(retryAfter.count()) / 1000)}}, reason);
+        const milliseconds shorter = clampedRetryAfter(retryAfter, callerDeadline(context, exchange->head()));
+        exchange->reply(status, {{"Retry-After", std::to_string(static_cast<double>(shorter.count()) / 1000)}}, reason);
     } else {
         exchange->reply(status, {}, reason);
     }
@@ -136,18 +149,13 @@
 
 void Relay::Private::forward(ForwardedRequest request)
 {
-    const HttpHead &head = request.exchange->head();
     std::uniform_real_distribution<double> draw(0, 1);
     request.service = pickService(*request.routes, *request.route, draw(context.random));
     if (!request.service) {
         return refuseEarly(context, request.exchange, 503, request.attemptId, "route without service", unknownRetryAfter);
     }
-    constexpr milliseconds longest = std::chrono::hours(1);
-    const milliseconds timeout = request.route->timeout > milliseconds(0) ? request.route->timeout : longest;
-    std::int64_t callerMs = longest.count();
-    parseNumber(head.find(context.dialect.headers().deadline), callerMs);
-    const milliseconds callerDeadline{std::clamp<std::int64_t>(callerMs, 0, longest.count())};
-    request.deadline = request.exchange->receivedAt() + std::min(timeout, callerDeadline);
+    const milliseconds timeout = request.route->timeout > milliseconds(0) ? request.route->timeout : longestDeadline;
+    request.deadline = request.exchange->receivedAt() + std::min(timeout, callerDeadline(context, request.exchange->head()));
     noteRequest(context, request.service->name);
     const ForwardingPtr forwarding = makeForwarding(context, std::move(request), hooks);
     forwardings.insert(forwarding);
@@ -356,6 +364,8 @@
     data.lease = std::make_unique<LeaseKeeper>(data.context, data.client, store, "placement");
     data.placement = std::make_unique<PlacementDuty>(data.context, data.client, *data.prober, [&data] {
         return data.mayOrder();
+    }, [&data] {
+        return data.registry->mayListBeShort();
     });
     RelayPeers::Handlers onPeers;
     onPeers.describe = [&data](RelayAnnouncement &announcement) {
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -33,10 +33,10 @@
 /// After this many stall times without an event, the stream is moved though nobody knows which engine is at fault.
 constexpr int stallsUntilMove = 4;
 /// When layers without a holder are expected to be loaded again: an order, a load of some layers, and the report of it.
-constexpr milliseconds gapRetryAfter{1500};
+constexpr milliseconds gapRetryAfter{1800};
 /// When KV cache is expected to be free again: a fraction of a usual answer's time, spread so that callers do not return together.
-constexpr milliseconds roomRetryAfter{800};
-constexpr milliseconds roomRetrySpread{1200};
+constexpr milliseconds roomRetryAfter{1200};
+constexpr milliseconds roomRetrySpread{2800};
 
 milliseconds stallThreshold(const RelayContext &context)
 {
@@ -179,7 +179,7 @@
     const bool isFull = coversAllLayers(m_context.fleet, situation);
     std::uniform_int_distribution<std::int64_t> spread(0, roomRetrySpread.count());
     const Refusal full{"no-room", roomRetryAfter + milliseconds(spread(m_context.random))};
-    const Refusal gap{"no-chain", gapRetryAfter};
+    const Refusal gap{"no-chain", gapRetryAfter + milliseconds(spread(m_context.random)) / 2};
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, isFull ? full.reason : gap.reason, firstTarget(), m_sent);
     } else {
