Streams leave engines that are about to go, and wait for a chain once their answer has begun

Cause: orders that give layers up waited for the streams in them (a data centre without a chain for 10 s); streams that found no chain at once were broken off midway, though gaps are often filled within a second.

--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -54,11 +54,11 @@
 /// A target with what this process has seen of it.
 struct Target {
     ListedTarget listed;              ///< newest entry of the registry
-    TimePoint listedAt{}; ///< when this start of it was first listed
+    TimePoint listedAt{};             ///< when this start of it was first listed
     TimePoint avoidUntil{};           ///< gets no work before, after a failure
     int failuresInRow = 0;            ///< requests that failed since the last that did not
     bool needsProbe = false;          ///< gets no work before it has answered a question, besides avoidUntil
-    bool isReported = false;        ///< it has told ordersAccepted itself
+    bool isReported = false;          ///< it has told ordersAccepted itself
     std::uint64_t ordersAccepted = 0; ///< orders begun since its start, as it last reported
     int openRequests = 0;             ///< of this process
     double kvTokenLayers = 0;         ///< KV cache that this process's open requests are expected to need, tokens x layers
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -32,6 +32,10 @@
     {
         // A call waits for one target only: its own connection or time-out tells.
     }
+    void leaveGoingEngines() override
+    {
+        // A call lasts milliseconds; its target goes on serving for longer.
+    }
     bool isOver() const override
     {
         return m_isOver;
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -8,7 +8,7 @@
 {
 
 /// Part of the platform's bound that is used: entries do not coordinate, and one that restarts begins with a full budget.
-constexpr double budgetUse = 0.7;
+constexpr double budgetUse = 0.85;
 
 static RetryBudget &budgetOf(RelayContext &context, const ServiceName &service)
 {
@@ -41,6 +41,12 @@
     return tryRetry(budgetOf(context, service));
 }
 
+bool hasSpareRetries(RelayContext &context, const ServiceName &service)
+{
+    const RetryBudget &budget = budgetOf(context, service);
+    return budget.saved > budget.burst / 2;
+}
+
 void noteRequest(RelayContext &context, const ServiceName &service)
 {
     noteRequest(budgetOf(context, service));
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -44,16 +44,18 @@
     Fleet fleet{};
     std::shared_ptr<const RouteTable> routes{}; ///< in force; null until one is known
     std::unordered_map<ServiceName, RetryBudget> retryBudgets{};
-    std::mt19937_64 random{};   ///< seeded by the id and the start, so that a run can be repeated
+    std::mt19937_64 random{}; ///< seeded by the id and the start, so that a run can be repeated
     RelayMetrics metrics{};
-    double usualGapMs = 50;     ///< moving average of the time between two events of a stream
-    int liveEntries = 1; ///< entries that share the retry budget, this one included
+    double usualGapMs = 50; ///< moving average of the time between two events of a stream
+    int liveEntries = 1;    ///< entries that share the retry budget, this one included
 };
 
 /// Raises the number of entries that share the retry budget; it never falls.
 void setLiveEntries(RelayContext &context, int entries);
 /// Takes one repeated send of this entry's part of the service's budget; false if it is spent.
 bool tryRetry(RelayContext &context, const ServiceName &service);
+/// Whether more than half of this entry's part is left: for repeats that could be done without.
+bool hasSpareRetries(RelayContext &context, const ServiceName &service);
 /// Counts a request towards the budget.
 void noteRequest(RelayContext &context, const ServiceName &service);
 
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -20,11 +20,11 @@
 
 /// What is logged of a whole answer.
 struct ServedAnswer {
-    int status = 0;              ///< of the target
-    std::string target;          ///< that answered; of a stream the first engine of the last chain
-    int attempts = 0;            ///< targets that the request was sent to
-    TimePoint firstByteAt{};     ///< of the answer
-    milliseconds longestGap{0};  ///< between two events of a stream
+    int status = 0;             ///< of the target
+    std::string target;         ///< that answered; of a stream the first engine of the last chain
+    int attempts = 0;           ///< targets that the request was sent to
+    TimePoint firstByteAt{};    ///< of the answer
+    milliseconds longestGap{0}; ///< between two events of a stream
 };
 
 /// Bytes of the request for a target. Fields of one connection, the caller's key and fields that the relay sets itself
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -39,6 +39,8 @@
     virtual void checkTime(TimePoint now) = 0;
     /// A target was found to be dead: what waits for it is moved.
     virtual void noteDeadTarget(const TargetId &id) = 0;
+    /// Called every leaveCheckInterval: leaves engines of its chain that are about to go.
+    virtual void leaveGoingEngines() = 0;
     virtual bool isOver() const = 0;
     /// Engines that the request passes through now; empty if it waits for no engine.
     virtual const std::vector<ChainPart> &chain() const = 0;
@@ -50,6 +52,10 @@
 /// How often time-outs and stalls of requests are looked at; an eighth of the shortest pause that matters.
 constexpr milliseconds forwardingTick{25};
 
+/// How often streams look whether an engine of their chain is draining or gives up their layers: several times within the
+/// shortest notice, which is seconds.
+constexpr milliseconds leaveCheckInterval{200};
+
 /// Callbacks of a forwarding to its relay.
 struct ForwardingHooks {
     /// Asks the first engine of a chain which engine its requests wait for.
--- a/src/relay/lease_keeper.cpp
+++ b/src/relay/lease_keeper.cpp
@@ -37,7 +37,7 @@
     TimePoint sentAt{};           ///< of the call on its way
     TimePoint heldUntil{};        ///< own clock; past: not held
     bool wasHeld = false;
-    bool isReleased = false;      ///< this entry is stopping: it does not take the lease any more
+    bool isReleased = false; ///< this entry is stopping: it does not take the lease any more
 
     void send(HttpClientRequest request, bool isWrite);
     void read();
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -58,7 +58,8 @@
     void takeAnswer(const TargetId &id, const HttpResult &result);
 };
 
-PlacementDuty::PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld, std::function<bool()> mayListBeShort)
+PlacementDuty::PlacementDuty(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> isHeld,
+                             std::function<bool()> mayListBeShort)
     : d(new Private{context, client, prober, std::move(isHeld), std::move(mayListBeShort)})
 {
     d->tick = std::make_unique<Timer>(context.loop, [this] {
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -25,7 +25,7 @@
     TimePoint storeBackAt{};                     ///< when the store last came back; zero: it never was away
     TimePoint storeLostAt{};                     ///< when it was last lost
     bool isStoreAway = false;
-    bool isCopying = false;                      ///< a copy from a peer is on its way
+    bool isCopying = false; ///< a copy from a peer is on its way
 
     void fetchCopy(TableFeed &feed, const std::string &table, const std::string &host);
     void takeConfiguration(const Row &row);
@@ -127,8 +127,8 @@
     }
 }
 
-constexpr std::uint16_t copyWireVersion = 2;   ///< of copies between relays
-constexpr milliseconds copyTimeout{1000};      ///< a copy is some hundred KB at most
+constexpr std::uint16_t copyWireVersion = 2; ///< of copies between relays
+constexpr milliseconds copyTimeout{1000};    ///< a copy is some hundred KB at most
 
 void Registry::Private::fetchCopy(TableFeed &feed, const std::string &table, const std::string &host)
 {
@@ -144,7 +144,12 @@
         isCopying = false;
         TableCopy copy;
         const bool isCopy = result.isOk() && decode(result.body, copyWireVersion, copy) && copy.table == table;
-        logEvent(Event::TableCopied, {{"table", table}, {"peer", host}, {"change", std::to_string(copy.change)}, {"outcome", isCopy ? "taken" : result.failure ? result.failure->error.text : "no copy"}});
+        logEvent(Event::TableCopied, {{"table", table},
+                                      {"peer", host},
+                                      {"change", std::to_string(copy.change)},
+                                      {"outcome", isCopy           ? "taken"
+                                                  : result.failure ? result.failure->error.text
+                                                                   : "no copy"}});
         if (isCopy) {
             feed.takeCopy(copy);
         }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -57,6 +57,7 @@
     std::unique_ptr<HttpServer> readinessServer{};
     std::unique_ptr<HttpServer> metricsServer{};
     std::unique_ptr<Timer> tick{};
+    std::unique_ptr<Timer> leaveTick{};
     std::unique_ptr<Timer> drainTimer{};
     std::set<ForwardingPtr> forwardings{};
     std::function<void()> finished{};
@@ -304,6 +305,11 @@
     data.tick = std::make_unique<Timer>(loop, [&data] {
         data.checkForwardings();
     });
+    data.leaveTick = std::make_unique<Timer>(loop, [&data] {
+        for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(data.forwardings.begin(), data.forwardings.end())) {
+            forwarding->leaveGoingEngines();
+        }
+    });
     data.drainTimer = std::make_unique<Timer>(loop, [&data] {
         data.checkDrain();
     });
@@ -362,11 +368,14 @@
     };
     data.registry = std::make_unique<Registry>(data.context, data.client, store, std::move(handlers));
     data.lease = std::make_unique<LeaseKeeper>(data.context, data.client, store, "placement");
-    data.placement = std::make_unique<PlacementDuty>(data.context, data.client, *data.prober, [&data] {
-        return data.mayOrder();
-    }, [&data] {
-        return data.registry->mayListBeShort();
-    });
+    data.placement = std::make_unique<PlacementDuty>(
+        data.context, data.client, *data.prober,
+        [&data] {
+            return data.mayOrder();
+        },
+        [&data] {
+            return data.registry->mayListBeShort();
+        });
     RelayPeers::Handlers onPeers;
     onPeers.describe = [&data](RelayAnnouncement &announcement) {
         data.registry->describe(announcement);
@@ -385,6 +394,7 @@
     data.prober->start();
     data.placement->start();
     data.tick->startRepeating(forwardingTick);
+    data.leaveTick->startRepeating(leaveCheckInterval);
     logEvent(Event::ProcessStarted,
              {{"id", settings.id}, {"callers", settings.callerAddress}, {"data_center", settings.dataCenter}, {"version", PARSLEYTRAIL_VERSION}});
     return {};
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -122,8 +122,8 @@
     }
     const bool isKnown = live.contains(announcement.entry);
     RelayPeer &peer = live[announcement.entry];
-    const bool isOlder = announcement.incarnation < peer.last.incarnation
-        || (announcement.incarnation == peer.last.incarnation && announcement.sequence <= peer.last.sequence);
+    const bool isOlder =
+        announcement.incarnation < peer.last.incarnation || (announcement.incarnation == peer.last.incarnation && announcement.sequence <= peer.last.sequence);
     if (isKnown && isOlder) {
         return;
     }
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -6,12 +6,18 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Parsleytrail
 {
 
 /// Reading from an engine stops while its caller has this much to take.
 constexpr std::size_t maxWaitingBytes = 64 * 1024;
+/// A stream that has begun waits this long for a chain to go on: callers leave after two seconds without an event.
+constexpr milliseconds longestCallerPause{1700};
+/// A stream with no near way around an engine that is about to go begins anew elsewhere after this time: loads that the
+/// engine is to make wait for it.
+constexpr milliseconds leavePatience{400};
 /// An answer that is no stream (a failure) is held up to this size.
 constexpr std::size_t heldAnswerBytes = 64 * 1024;
 /// A stream is not sent again with less time than this left: reading its prompt takes some hundred milliseconds.
@@ -56,6 +62,7 @@
     void begin() override;
     void checkTime(TimePoint now) override;
     void noteDeadTarget(const TargetId &id) override;
+    void leaveGoingEngines() override;
     bool isOver() const override
     {
         return m_isOver;
@@ -73,7 +80,7 @@
     void readDemand();
     ChainSituation situationNow() const;
     void startAttempt();
-    bool startMove(const TargetId &dead);
+    bool startMove(const ChainTuning &tuning);
     void takeMove(bool isMoved, int move);
     void moveAway(std::string_view reason);
     void refuseWithoutChain(const ChainSituation &situation);
@@ -108,18 +115,20 @@
     std::uint64_t m_lastEvent = 0;  ///< id of the last event passed on
     std::uint64_t m_firstEvent = 0; ///< id after which the caller wants events
     TimePoint m_progressAt{};       ///< of the start of the attempt or its last event
+    TimePoint m_leavingSince{};     ///< when an engine of the chain was first seen to be about to go, with no near way around it
     TimePoint m_askedAt{};          ///< when the first engine was last asked for stalls
     TimePoint m_firstByteAt{};
-    TimePoint m_eventAt{}; ///< of the last event passed on
+    TimePoint m_eventAt{};        ///< of the last event passed on
     milliseconds m_longestGap{0}; ///< between two events passed on
-    int m_sent = 0;            ///< attempts that an engine may have begun
-    int m_refusals = 0;        ///< attempts that engines refused without running them
-    bool m_mayHaveRun = false; ///< in an attempt before
-    bool m_isStream = false;   ///< this attempt's answer is an event stream
-    bool m_hasEvents = false;  ///< this attempt has brought events
+    int m_sent = 0;               ///< attempts that an engine may have begun
+    int m_refusals = 0;           ///< attempts that engines refused without running them
+    bool m_mayHaveRun = false;    ///< in an attempt before
+    bool m_isStream = false;      ///< this attempt's answer is an event stream
+    bool m_hasEvents = false;     ///< this attempt has brought events
     bool m_isReserved = false;
+    bool m_isWaitingForChain = false; ///< the answer has begun and no chain is there to go on
     bool m_isOver = false;
-    int m_moves = 0;                 ///< times the running request was given another chain
+    int m_moves = 0;       ///< times the running request was given another chain
     bool m_sawGap = false; ///< an event was missing: this attempt can't be passed on
 };
 
@@ -180,6 +189,12 @@
     std::uniform_int_distribution<std::int64_t> spread(0, roomRetrySpread.count());
     const Refusal full{"no-room", roomRetryAfter + milliseconds(spread(m_context.random))};
     const Refusal gap{"no-chain", gapRetryAfter + milliseconds(spread(m_context.random)) / 2};
+    if (m_mayHaveRun && m_context.clock.now() - m_eventAt < longestCallerPause) {
+        // The caller has a part of its answer and waits for the rest; a gap is often filled in this time.
+        m_isWaitingForChain = true;
+        m_chain.clear();
+        return;
+    }
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, isFull ? full.reason : gap.reason, firstTarget(), m_sent);
     } else {
@@ -201,6 +216,8 @@
 
 void StreamForwarding::startAttempt()
 {
+    m_isWaitingForChain = false;
+    m_leavingSince = TimePoint();
     const ChainSituation situation = situationNow();
     std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random);
     if (chain.empty()) {
@@ -411,18 +428,14 @@
     end();
 }
 
-/// Lets the first engine go on through engines that live: what the others have read stays, and the caller sees a short pause.
+/// Lets the first engine go on through other engines: what the kept ones have read stays, and the caller sees a short pause.
 /// Returns false if there is no such chain.
-bool StreamForwarding::startMove(const TargetId &dead)
+bool StreamForwarding::startMove(const ChainTuning &tuning)
 {
-    const bool isFirst = m_chain.front().id == dead;
-    if (isFirst || !m_hooks.moveStream) {
-        return false;
-    }
     ChainSituation situation = situationNow();
     situation.current = m_chain;
     reserve(-1);
-    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random);
+    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random, tuning);
     if (chain.empty()) {
         reserve(+1);
         return false;
@@ -439,6 +452,34 @@
     return true;
 }
 
+/// A draining engine goes on for seconds, and one that gives up layers waits for the streams in them before it loads
+/// others: leaving early costs reading the tokens once more, leaving late a stall.
+void StreamForwarding::leaveGoingEngines()
+{
+    if (m_isOver || !m_hasEvents || !m_exchange) {
+        return;
+    }
+    const bool isLeft = std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainPart &part) {
+        const Target *target = findTarget(m_context.fleet, part.id);
+        return target && (target->listed.isDraining || !target->listed.layers.contains(part.layers));
+    });
+    if (!isLeft) {
+        return;
+    }
+    // Not for engines elsewhere: all tokens so far would cross between data centres.
+    ChainTuning near;
+    near.crossHopMs = std::numeric_limits<double>::infinity();
+    if (startMove(near)) {
+        return;
+    }
+    const TimePoint now = m_context.clock.now();
+    m_leavingSince = m_leavingSince == TimePoint() ? now : m_leavingSince;
+    const bool mayBeginAnew = m_sent < m_request.route->maxAttempts && hasSpareRetries(m_context, m_request.service->name);
+    if (now - m_leavingSince >= leavePatience && mayBeginAnew) {
+        moveAway("engine of the chain is about to go");
+    }
+}
+
 void StreamForwarding::takeMove(bool isMoved, int move)
 {
     if (m_isOver || move != m_moves) {
@@ -464,7 +505,8 @@
         return;
     }
     m_excluded.insert(id);
-    if (!startMove(id)) {
+    const bool isFirst = m_chain.front().id == id;
+    if (isFirst || !startMove({})) {
         moveAway("engine of the chain is dead");
     }
 }
@@ -490,8 +532,11 @@
         failRequest(m_context, m_request, "time is up", firstTarget(), m_sent);
         return end();
     }
+    if (m_isWaitingForChain) {
+        return startAttempt();
+    }
     const milliseconds stall = m_hasEvents ? eventStall : firstEventStall;
-    if (now - m_progressAt < stall || now - m_askedAt < stallQuestionInterval) {
+    if (m_chain.empty() || now - m_progressAt < stall || now - m_askedAt < stallQuestionInterval) {
         return;
     }
     m_askedAt = now;
--- a/src/relay/table_feed.cpp
+++ b/src/relay/table_feed.cpp
@@ -27,12 +27,12 @@
 
     std::unique_ptr<Timer> next{};
     HttpCallPtr call{};
-    std::map<std::string, Row> rows{};               ///< known, by key; removed ones too, without value
-    std::set<std::string> seen{};                    ///< keys of the reading under way
-    std::string readFrom{};                          ///< where the reading goes on
-    std::uint64_t revision = 0;                      ///< of the last answer
-    std::uint64_t firstRevision = 0;                 ///< of the first page of the reading under way
-    std::uint64_t lastChange = 0;                    ///< highest version of a row, removed ones included
+    std::map<std::string, Row> rows{}; ///< known, by key; removed ones too, without value
+    std::set<std::string> seen{};      ///< keys of the reading under way
+    std::string readFrom{};            ///< where the reading goes on
+    std::uint64_t revision = 0;        ///< of the last answer
+    std::uint64_t firstRevision = 0;   ///< of the first page of the reading under way
+    std::uint64_t lastChange = 0;      ///< highest version of a row, removed ones included
     TimePoint confirmedAt{};
     int failures = 0;
     bool isWatching = false;
