--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,21 +1,70 @@
 #include "base/log.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include "base/output_sink.h"
+
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
 
 namespace Parsleytrail
 {
 
+static OutputSink &output()
+{
+    static OutputSink instance(STDOUT_FILENO);
+    return instance;
+}
+
+/// Hands spdlog's formatted lines to the output.
+class LineSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override
+    {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        output().write(std::string_view(line.data(), line.size()));
+    }
+    void flush_() override
+    {
+        output().flush();
+    }
+};
+
 static spdlog::logger &logger()
 {
     static const auto instance = [] {
-        auto made = spdlog::stderr_logger_st("parsleytrail");
+        auto made = std::make_shared<spdlog::logger>("parsleytrail", std::make_shared<LineSink>());
         made->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
         return made;
     }();
     return *instance;
 }
 
+/// Lines of level info that were not written since the last report.
+static std::uint64_t limitedLines = 0;
+
+/// Whether a line of level info may be written now.
+static bool tryTakeLine()
+{
+    using Seconds = std::chrono::duration<double>;
+    static double saved = maxInfoLinesPerSecond;
+    static auto filledAt = std::chrono::steady_clock::now();
+    const auto now = std::chrono::steady_clock::now();
+    saved = std::min(maxInfoLinesPerSecond, saved + Seconds(now - filledAt).count() * maxInfoLinesPerSecond);
+    filledAt = now;
+    if (saved < 1) {
+        ++limitedLines;
+        return false;
+    }
+    saved -= 1;
+    return true;
+}
+
 static spdlog::level::level_enum toSpdlog(EventLevel level)
 {
     switch (level) {
@@ -60,19 +109,38 @@
     return false;
 }
 
-void logEvent(Event event, std::initializer_list<LogField> fields)
+static std::string lineText(Event event, const EventInfo &info, std::initializer_list<LogField> fields)
 {
-    const EventInfo info = eventInfo(event);
-    const auto level = toSpdlog(info.level);
-    if (!logger().should_log(level)) {
-        return;
-    }
     std::string line = std::to_string(static_cast<int>(event)) + " " + info.name;
     for (const LogField &field : fields) {
         line += std::string(" ") + field.name + "=";
         appendValue(line, field.value);
     }
-    logger().log(level, line);
+    return line;
+}
+
+/// Tells of lines that were dropped, once there is room again.
+static void reportDropped()
+{
+    const std::uint64_t dropped = output().takeDropped();
+    if (dropped + limitedLines == 0) {
+        return;
+    }
+    const std::string line = lineText(Event::LogLinesDropped, eventInfo(Event::LogLinesDropped),
+                                      {{"slow_reader", std::to_string(dropped)}, {"too_many", std::to_string(limitedLines)}});
+    limitedLines = 0;
+    logger().log(spdlog::level::warn, line);
+}
+
+void logEvent(Event event, std::initializer_list<LogField> fields)
+{
+    const EventInfo info = eventInfo(event);
+    const auto level = toSpdlog(info.level);
+    if (!logger().should_log(level) || (info.level == EventLevel::Info && !tryTakeLine())) {
+        return;
+    }
+    reportDropped();
+    logger().log(level, lineText(event, info, fields));
 }
 
 } // namespace Parsleytrail
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,4 +1,4 @@
-// Structured log lines on standard error: one numbered event a line.
+// Structured log lines on standard output: one numbered event a line. Never blocks; see output_sink.h.
 //
 //     2026-01-01T10:00:00.000 info 120 TargetJoined target=e1 layers=0-9
 #pragma once
@@ -12,6 +12,10 @@
 namespace Parsleytrail
 {
 
+/// Most lines of level info a second, with as many saved up. A process answers some tens of requests a second, each with
+/// a line or two; a storm of refusals must not cost more than the refusals themselves.
+constexpr double maxInfoLinesPerSecond = 300;
+
 /// One field of a log line.
 struct LogField {
     const char *name;  ///< key
@@ -20,7 +24,7 @@
 
 /// Sets the lowest level written: debug, info, warning or error. Returns false for another word.
 bool setLogLevel(std::string_view level);
-/// Writes an event.
+/// Writes an event. Lines of level info are limited to maxInfoLinesPerSecond; what is dropped is counted and told.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 
 } // namespace Parsleytrail
--- /dev/null
+++ b/src/base/output_sink.cpp
@@ -0,0 +1,61 @@
+#include "base/output_sink.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+#include <utility>
+
+namespace Parsleytrail
+{
+
+OutputSink::OutputSink(int descriptor)
+    : m_descriptor(descriptor)
+{
+}
+
+void OutputSink::write(std::string_view line)
+{
+    if (m_buffer.size() + line.size() > maxLogBufferBytes) {
+        ++m_dropped;
+    } else {
+        m_buffer.append(line);
+    }
+    flush();
+}
+
+void OutputSink::flush()
+{
+    while (!m_buffer.empty()) {
+        pollfd ready{m_descriptor, POLLOUT, 0};
+        if (poll(&ready, 1, 0) <= 0 || !(ready.revents & (POLLOUT | POLLERR | POLLHUP))) {
+            return;
+        }
+        // A pipe that is ready takes this much without blocking; more could.
+        const ssize_t size = ::write(m_descriptor, m_buffer.data(), std::min<std::size_t>(m_buffer.size(), PIPE_BUF));
+        if (size < 0 && (errno == EINTR || errno == EAGAIN)) {
+            return;
+        }
+        if (size <= 0) {
+            // Nobody reads any more: the lines are lost, the process goes on.
+            m_dropped += std::count(m_buffer.begin(), m_buffer.end(), '\n');
+            m_buffer.clear();
+            return;
+        }
+        m_buffer.erase(0, size);
+    }
+}
+
+std::uint64_t OutputSink::takeDropped()
+{
+    return std::exchange(m_dropped, 0);
+}
+
+std::size_t OutputSink::waiting() const
+{
+    return m_buffer.size();
+}
+
+} // namespace Parsleytrail
--- a/src/entry/work_keeper.h
+++ b/src/entry/work_keeper.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "entry/context.h"
-#include "store/store.h"
 #include "policy/served_work.h"
+#include "store/store.h"
 
 #include <functional>
 
--- a/src/relay/http_message.cpp
+++ b/src/relay/http_message.cpp
@@ -271,10 +271,10 @@
         reader.left -= size;
         return size;
     }
-    if (input.size() < 2) {
+    if (input == "\r") {
         return 0;
     }
-    reader.isMalformed = input.substr(0, 2) != "\r\n";
+    reader.isMalformed = !input.starts_with("\r\n");
     reader.isInChunk = false;
     return 2;
 }
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -139,7 +139,7 @@
     HttpClientRequest request;
     request.path = "/peer/table?name=" + table;
     request.timeout = copyTimeout;
-    const Address address{host, static_cast<std::uint16_t>(context.settings.metricsPort)};
+    const Address address{host, static_cast<std::uint16_t>(context.settings.peerPort)};
     client.fetch(address, std::move(request), [this, &feed, table, host](const HttpResult &result) {
         isCopying = false;
         TableCopy copy;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -56,6 +56,7 @@
     std::unique_ptr<Listener> listener{};
     std::unique_ptr<HttpServer> readinessServer{};
     std::unique_ptr<HttpServer> metricsServer{};
+    std::unique_ptr<HttpServer> peerServer{};
     std::unique_ptr<Timer> tick{};
     std::unique_ptr<Timer> leaveTick{};
     std::unique_ptr<Timer> drainTimer{};
@@ -348,16 +349,18 @@
         if (exchange->request().path == "/metrics") {
             return exchange->reply(200, {{"Content-Type", "application/openmetrics-text; version=1.0.0"}}, data.context.metrics.all.openMetricsText());
         }
-        if (exchange->request().path == "/peer/table") {
-            const std::string name = queryParameter(exchange->request().query, "name").value_or("");
-            return exchange->reply(200, {{"Content-Type", "application/octet-stream"}}, data.registry->copyTable(name));
-        }
         if (exchange->request().path == "/state") {
             return exchange->reply(200, {{"Content-Type", "application/json"}}, dumpState());
         }
         exchange->reply(404, {}, {});
     });
     BOOST_LEAF_CHECK(data.metricsServer->listen({settings.host, static_cast<std::uint16_t>(settings.metricsPort)}));
+    data.peerServer = std::make_unique<HttpServer>(data.context.loop, HttpLimits(), [&data](const ExchangePtr &exchange) {
+        const std::string name = queryParameter(exchange->request().query, "name").value_or("");
+        const bool isTable = exchange->request().path == "/peer/table";
+        exchange->reply(isTable ? 200 : 404, {{"Content-Type", "application/octet-stream"}}, isTable ? data.registry->copyTable(name) : std::string());
+    });
+    BOOST_LEAF_CHECK(data.peerServer->listen({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
     BOOST_LEAF_CHECK(data.listener->listen(callerAddress));
     Registry::Handlers handlers;
     handlers.onRoutes = [&data] {
@@ -437,6 +440,16 @@
     }
 }
 
+std::uint16_t Relay::callerPort() const
+{
+    return d->listener->port();
+}
+
+bool Relay::isReady() const
+{
+    return d->isReady();
+}
+
 // [SECTION] Dump
 
 std::string Relay::dumpState() const
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -31,6 +31,10 @@
     Result<void> start();
     /// Not ready from now on; calls back when the last request has ended, or the stop timeout is near.
     void drain(std::function<void()> finished);
+    /// Port that callers connect to; the one that was taken if the settings say 0.
+    std::uint16_t callerPort() const;
+    /// Whether new connections are wanted: what the platform is told.
+    bool isReady() const;
     /// All state as JSON, for people.
     std::string dumpState() const;
 
--- a/src/sidecar/announcer.h
+++ b/src/sidecar/announcer.h
@@ -5,8 +5,8 @@
 // seldom, from the platform's list.
 #pragma once
 
-#include "store/store.h"
 #include "sidecar/context.h"
+#include "store/store.h"
 #include "wire/datagrams.h"
 
 namespace Parsleytrail
--- /dev/null
+++ b/stand-ins/chain_engines.cpp
@@ -0,0 +1,407 @@
+// Index: [SECTION] State, [SECTION] Streams, [SECTION] Orders and reports, [SECTION] ChainEngines
+#include "stand-ins/chain_engines.h"
+
+#include "base/text.h"
+#include "relay/connection.h"
+#include "relay/http_message.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+
+namespace Parsleytrail::StandIn
+{
+
+using Json = nlohmann::json;
+
+// [SECTION] State
+
+struct EnginePart {
+    std::string address;
+    LayerRange layers;
+};
+
+struct ChainEngine;
+
+/// A stream at its first engine.
+struct EngineStream {
+    ChainEngine *engine = nullptr;
+    ConnectionPtr connection;
+    std::string id;
+    std::vector<EnginePart> chain;
+    int next = 1; ///< id of the next event
+    std::unique_ptr<Timer> tick;
+    TimePoint stalledAt{};
+    std::string waitsFor; ///< address of the engine that does not answer
+};
+
+struct ChainEngine {
+    std::string id;
+    std::string address;
+    std::unique_ptr<Listener> listener;
+    std::set<ConnectionPtr> connections;
+    LayerRange layers;
+    LayerRange loading;
+    std::unique_ptr<Timer> loaded;
+    std::uint64_t orders = 0;
+    bool isBusy = false;
+    bool isSilent = false;
+    bool isDead = false;
+    bool isAlive() const
+    {
+        return !isSilent && !isDead;
+    }
+};
+
+struct ChainEngines::Private {
+    Private(EventLoop &eventLoop, ChainEnginesOptions engineOptions)
+        : loop(eventLoop)
+        , options(engineOptions)
+    {
+    }
+
+    EventLoop &loop;
+    ChainEnginesOptions options;
+    std::map<std::string, std::unique_ptr<ChainEngine>> engines;
+    std::set<std::shared_ptr<EngineStream>> streams;
+    bool losesOrders = false;
+    int begun = 0;
+    int moved = 0;
+    int placed = 0;
+    int refused = 0;
+    int badChains = 0;
+
+    ChainEngine *at(const std::string &address);
+    std::vector<EnginePart> parseChain(std::string_view text);
+    bool isWhole(const std::vector<EnginePart> &chain) const;
+    std::string missingPart(const std::vector<EnginePart> &chain);
+    void take(ChainEngine &engine, const ConnectionPtr &connection);
+    void answer(const ConnectionPtr &connection, int status, const std::string &body, const std::string &fields = {});
+    void beginStream(ChainEngine &engine, const ConnectionPtr &connection, const HttpHead &head);
+    void makeEvent(const std::shared_ptr<EngineStream> &stream);
+    void order(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
+    void place(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
+    void move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
+    void report(ChainEngine &engine, const ConnectionPtr &connection);
+    void dropStreams(const ConnectionPtr &connection);
+};
+
+ChainEngine *ChainEngines::Private::at(const std::string &address)
+{
+    for (auto &[id, engine] : engines) {
+        if (engine->address == address) {
+            return engine.get();
+        }
+    }
+    return nullptr;
+}
+
+std::vector<EnginePart> ChainEngines::Private::parseChain(std::string_view text)
+{
+    std::vector<EnginePart> chain;
+    for (const std::string &word : splitList(text, ',')) {
+        const std::size_t equals = word.find('=');
+        const std::size_t dash = word.find('-', equals);
+        EnginePart part;
+        part.address = word.substr(0, equals);
+        parseNumber(std::string_view(word).substr(equals + 1, dash - equals - 1), part.layers.from);
+        parseNumber(std::string_view(word).substr(dash + 1), part.layers.to);
+        chain.push_back(part);
+    }
+    return chain;
+}
+
+bool ChainEngines::Private::isWhole(const std::vector<EnginePart> &chain) const
+{
+    int next = 0;
+    for (const EnginePart &part : chain) {
+        if (part.layers.from != next || part.layers.count() <= 0) {
+            return false;
+        }
+        next = part.layers.to;
+    }
+    return next == options.layers;
+}
+
+/// Address of the first engine of the chain that can't serve its part; empty if all can.
+std::string ChainEngines::Private::missingPart(const std::vector<EnginePart> &chain)
+{
+    for (const EnginePart &part : chain) {
+        const ChainEngine *engine = at(part.address);
+        if (!engine || !engine->isAlive() || !engine->layers.contains(part.layers)) {
+            return part.address;
+        }
+    }
+    return {};
+}
+
+// [SECTION] Streams
+
+void ChainEngines::Private::answer(const ConnectionPtr &connection, int status, const std::string &body, const std::string &fields)
+{
+    connection->write(absl::StrCat("HTTP/1.1 ", status, " Status\r\nContent-Length: ", body.size(), "\r\n", fields, "\r\n", body));
+}
+
+void ChainEngines::Private::beginStream(ChainEngine &engine, const ConnectionPtr &connection, const HttpHead &head)
+{
+    auto stream = std::make_shared<EngineStream>();
+    stream->engine = &engine;
+    stream->connection = connection;
+    stream->id = std::string(head.find("X-Attempt-Id"));
+    stream->chain = parseChain(head.find("X-Hop-Count"));
+    const std::string missing = missingPart(stream->chain);
+    if (!missing.empty()) {
+        return answer(connection, 503, {}, "X-Not-Executed: 1\r\nAt-Server: " + missing + "\r\n");
+    }
+    badChains += isWhole(stream->chain) ? 0 : 1;
+    int last = 0;
+    parseNumber(head.find("Last-Event-Id"), last);
+    stream->next = last + 1;
+    ++begun;
+    connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id
+                      + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    stream->tick = std::make_unique<Timer>(loop, [this, weak = std::weak_ptr(stream)] {
+        if (const auto self = weak.lock()) {
+            makeEvent(self);
+        }
+    });
+    stream->tick->startRepeating(options.gap);
+    streams.insert(stream);
+}
+
+void ChainEngines::Private::makeEvent(const std::shared_ptr<EngineStream> &stream)
+{
+    stream->waitsFor = missingPart(stream->chain);
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (!stream->waitsFor.empty()) {
+        stream->stalledAt = stream->stalledAt == TimePoint() ? now : stream->stalledAt;
+        if (now - stream->stalledAt >= options.stallTimeout) {
+            stream->connection->close();
+            streams.erase(stream);
+        }
+        return;
+    }
+    stream->stalledAt = TimePoint();
+    std::string bytes;
+    appendChunk(bytes, absl::StrCat("id: ", stream->next, "\ndata: token-", stream->next, "\n\n"));
+    const bool isLast = stream->next++ == options.events;
+    stream->connection->write(isLast ? bytes + "0\r\n\r\n" : bytes);
+    if (isLast) {
+        streams.erase(stream);
+    }
+}
+
+void ChainEngines::Private::dropStreams(const ConnectionPtr &connection)
+{
+    std::erase_if(streams, [&](const std::shared_ptr<EngineStream> &stream) {
+        return stream->connection == connection;
+    });
+}
+
+// [SECTION] Orders and reports
+
+void ChainEngines::Private::report(ChainEngine &engine, const ConnectionPtr &connection)
+{
+    Json stalled = Json::array();
+    for (const auto &stream : streams) {
+        if (stream->engine == &engine && !stream->waitsFor.empty()) {
+            stalled.push_back({{"id", stream->id}, {"address", stream->waitsFor}});
+        }
+    }
+    const Json body = {
+        {"busy", engine.isBusy}, {"seqNo", engine.orders}, {"layers", {{"from", engine.layers.from}, {"to", engine.layers.to}}}, {"stalled", stalled}};
+    answer(connection, 200, body.dump());
+}
+
+void ChainEngines::Private::place(ChainEngine &engine, const ConnectionPtr &connection, const Json &body)
+{
+    const bool isExpected = body.value("expectedRevision", engine.orders) == engine.orders;
+    if (!isExpected || engine.isBusy) {
+        ++refused;
+        return answer(connection, 409, {});
+    }
+    ++placed;
+    ++engine.orders;
+    engine.isBusy = true;
+    engine.loading = {body.at("from"), body.at("to")};
+    engine.loaded = std::make_unique<Timer>(loop, [&engine] {
+        engine.isBusy = false;
+        engine.layers = engine.loading;
+    });
+    engine.loaded->start(options.load);
+    if (!losesOrders) {
+        answer(connection, 202, {});
+    }
+}
+
+void ChainEngines::Private::move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body)
+{
+    for (const auto &stream : streams) {
+        if (stream->engine != &engine || stream->id != body.at("id")) {
+            continue;
+        }
+        const std::vector<EnginePart> chain = parseChain(body.at("path").get<std::string>());
+        if (!missingPart(chain).empty()) {
+            return answer(connection, 409, {});
+        }
+        badChains += isWhole(chain) ? 0 : 1;
+        stream->chain = chain;
+        ++moved;
+        return answer(connection, 200, {});
+    }
+    answer(connection, 404, {});
+}
+
+void ChainEngines::Private::take(ChainEngine &engine, const ConnectionPtr &connection)
+{
+    if (!engine.isAlive()) {
+        return;
+    }
+    HttpHead head;
+    std::string &input = connection->input();
+    if (parseRequestHead(input, 1 << 20, head) != ParseResult::Complete) {
+        return;
+    }
+    BodyPlan plan = planRequestBody(head);
+    std::string body;
+    const std::size_t used = readBody(plan.reader, std::string_view(input).substr(head.text.size()), body);
+    if (!plan.reader.isComplete) {
+        return;
+    }
+    input.erase(0, head.text.size() + used);
+    if (head.path() == "/report") {
+        report(engine, connection);
+    } else if (head.path() == "/order") {
+        const Json order = Json::parse(body);
+        order.at("op") == "place" ? place(engine, connection, order) : move(engine, connection, order);
+    } else {
+        beginStream(engine, connection, head);
+    }
+}
+
+// [SECTION] ChainEngines
+
+ChainEngines::ChainEngines(EventLoop &loop, ChainEnginesOptions options)
+    : d(std::make_unique<Private>(loop, options))
+{
+}
+
+ChainEngines::~ChainEngines()
+{
+    d->streams.clear();
+    for (auto &[id, engine] : d->engines) {
+        for (const ConnectionPtr &connection : std::exchange(engine->connections, {})) {
+            connection->close();
+        }
+    }
+}
+
+Address ChainEngines::add(const std::string &id)
+{
+    auto engine = std::make_unique<ChainEngine>();
+    ChainEngine &made = *engine;
+    made.id = id;
+    made.listener = std::make_unique<Listener>(d->loop, [this, &made](int socket) {
+        const ConnectionPtr connection = Connection::adopt(d->loop, socket);
+        made.connections.insert(connection);
+        Connection::Handlers handlers;
+        handlers.onInput = [this, &made, raw = connection.get()] {
+            d->take(made, raw->shared_from_this());
+        };
+        handlers.onEnd = [this, &made, raw = connection.get()](ConnectionEnd) {
+            const ConnectionPtr self = raw->shared_from_this();
+            d->dropStreams(self);
+            made.connections.erase(self);
+        };
+        connection->setHandlers(std::move(handlers));
+    });
+    Error error;
+    runCatching(
+        [&made] {
+            return made.listener->listen({"127.0.0.1", 0});
+        },
+        error);
+    const Address address{"127.0.0.1", made.listener->port()};
+    made.address = address.toString();
+    d->engines[id] = std::move(engine);
+    return address;
+}
+
+void ChainEngines::silence(const std::string &id)
+{
+    d->engines.at(id)->isSilent = true;
+}
+
+void ChainEngines::crash(const std::string &id)
+{
+    ChainEngine &engine = *d->engines.at(id);
+    engine.isDead = true;
+    engine.listener->close();
+    for (const ConnectionPtr &connection : std::exchange(engine.connections, {})) {
+        d->dropStreams(connection);
+        connection->reset();
+    }
+}
+
+void ChainEngines::cutStreams(const std::string &id)
+{
+    const auto streams = d->streams;
+    for (const auto &stream : streams) {
+        if (stream->engine->id == id) {
+            std::string bytes;
+            appendChunk(bytes, "id: 99");
+            stream->connection->write(bytes);
+            stream->connection->reset();
+            d->streams.erase(stream);
+        }
+    }
+}
+
+void ChainEngines::loseOrders(bool loses)
+{
+    d->losesOrders = loses;
+}
+
+LayerRange ChainEngines::layers(const std::string &id) const
+{
+    return d->engines.at(id)->layers;
+}
+
+void ChainEngines::setLayers(const std::string &id, LayerRange layers)
+{
+    d->engines.at(id)->layers = layers;
+}
+
+int ChainEngines::begun() const
+{
+    return d->begun;
+}
+
+int ChainEngines::open() const
+{
+    return static_cast<int>(d->streams.size());
+}
+
+int ChainEngines::moved() const
+{
+    return d->moved;
+}
+
+int ChainEngines::placed() const
+{
+    return d->placed;
+}
+
+int ChainEngines::refusedOrders() const
+{
+    return d->refused;
+}
+
+int ChainEngines::badChains() const
+{
+    return d->badChains;
+}
+
+} // namespace Parsleytrail::StandIn
--- /dev/null
+++ b/stand-ins/raw_target.cpp
@@ -0,0 +1,154 @@
+#include "stand-ins/raw_target.h"
+
+#include <map>
+
+namespace Parsleytrail::StandIn
+{
+
+std::string RawRequest::field(std::string_view name) const
+{
+    HttpHead parsed;
+    parseRequestHead(head, head.size(), parsed);
+    return std::string(parsed.find(name));
+}
+
+struct RawConnection {
+    ConnectionPtr connection;
+    int number = 0;
+};
+
+struct RawTarget::Private {
+    Private(EventLoop &eventLoop, Handler onRequest)
+        : loop(eventLoop)
+        , handler(std::move(onRequest))
+    {
+    }
+
+    EventLoop &loop;
+    Handler handler;
+    std::unique_ptr<Listener> listener;
+    std::vector<RawRequest> requests;
+    std::map<int, ConnectionPtr> connections;
+    std::vector<std::unique_ptr<Timer>> delays;
+    int accepted = 0;
+    int closed = 0;
+
+    void take(int number);
+    void reply(int number, const RawReply &reply);
+};
+
+void RawTarget::Private::take(int number)
+{
+    const auto it = connections.find(number);
+    if (it == connections.end()) {
+        return;
+    }
+    std::string &input = it->second->input();
+    HttpHead head;
+    if (parseRequestHead(input, 1 << 20, head) != ParseResult::Complete) {
+        return;
+    }
+    BodyPlan plan = planRequestBody(head);
+    RawRequest request;
+    const std::size_t used = readBody(plan.reader, std::string_view(input).substr(head.text.size()), request.body);
+    if (!plan.reader.isComplete) {
+        return;
+    }
+    request.head = head.text;
+    request.connection = number;
+    input.erase(0, head.text.size() + used);
+    requests.push_back(request);
+    const RawReply answer = handler(request);
+    if (answer.delay == milliseconds(0)) {
+        return reply(number, answer);
+    }
+    delays.push_back(std::make_unique<Timer>(loop, [this, number, answer] {
+        reply(number, answer);
+    }));
+    delays.back()->start(answer.delay);
+}
+
+void RawTarget::Private::reply(int number, const RawReply &reply)
+{
+    const auto it = connections.find(number);
+    if (it == connections.end()) {
+        return;
+    }
+    const ConnectionPtr connection = it->second;
+    connection->write(reply.bytes);
+    if (reply.resets || reply.closes) {
+        connections.erase(it);
+        if (reply.resets) {
+            connection->reset();
+        } else {
+            connection->closeAfterWriting();
+        }
+    }
+}
+
+RawTarget::RawTarget(EventLoop &loop, Handler handler)
+    : d(std::make_unique<Private>(loop, std::move(handler)))
+{
+    d->listener = std::make_unique<Listener>(loop, [this](int socket) {
+        const int number = ++d->accepted;
+        const ConnectionPtr connection = Connection::adopt(d->loop, socket);
+        d->connections[number] = connection;
+        Connection::Handlers handlers;
+        handlers.onInput = [this, number] {
+            d->take(number);
+        };
+        handlers.onEnd = [this, number](ConnectionEnd) {
+            ++d->closed;
+            d->connections.erase(number);
+        };
+        connection->setHandlers(std::move(handlers));
+    });
+    Error error;
+    runCatching(
+        [this] {
+            return d->listener->listen({"127.0.0.1", 0});
+        },
+        error);
+}
+
+RawTarget::~RawTarget()
+{
+    closeConnections();
+}
+
+Address RawTarget::address() const
+{
+    return {"127.0.0.1", d->listener->port()};
+}
+
+const std::vector<RawRequest> &RawTarget::requests() const
+{
+    return d->requests;
+}
+
+int RawTarget::closedConnections() const
+{
+    return d->closed;
+}
+
+void RawTarget::sendUnasked(const std::string &bytes)
+{
+    for (const auto &[number, connection] : d->connections) {
+        connection->write(bytes);
+    }
+}
+
+void RawTarget::closeConnections()
+{
+    for (const auto &[number, connection] : std::exchange(d->connections, {})) {
+        connection->close();
+    }
+}
+
+std::string sealedAnswer(const RawRequest &request, const std::string &body, const std::string &statusLine, const std::string &moreFields)
+{
+    return statusLine + "\r\nX-Attempt-Id: " + request.field("X-Attempt-Id") + "\r\nX-Response-Seal: seal-1\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n" + moreFields + "\r\n" + body;
+}
+
+} // namespace Parsleytrail::StandIn
--- a/tests/fuzz_frames.cpp
+++ b/tests/fuzz_frames.cpp
@@ -68,6 +68,12 @@
     case 12:
         tryDecode<LoadReport>(bytes, version);
         break;
+    case 13:
+        tryDecode<RelayAnnouncement>(bytes, version);
+        break;
+    case 14:
+        tryDecode<TableCopy>(bytes, version);
+        break;
     default:
         tryDecode<StageReport>(bytes, version);
         break;
--- /dev/null
+++ b/tests/relay_calls_test.cpp
@@ -0,0 +1,566 @@
+// The relay before plain services: what a caller gets when targets fail, cut, spoil or double their answers, and what a
+// target never sees.
+#include "tests/relay_system.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Parsleytrail;
+using namespace Parsleytrail::Test;
+using StandIn::RawReply;
+using StandIn::RawRequest;
+using StandIn::sealedAnswer;
+
+namespace
+{
+
+RawReply answerWell(const RawRequest &request)
+{
+    return {sealedAnswer(request, "fine")};
+}
+
+/// Bytes that a caller sends, and the status of the answer.
+struct BadInput {
+    const char *name;
+    std::string bytes;
+    int status;
+};
+std::ostream &operator<<(std::ostream &out, const BadInput &bad)
+{
+    return out << bad.name;
+}
+
+std::string withFields(const std::string &fields, const std::string &requestLine = "POST /read/x HTTP/1.1")
+{
+    return requestLine + "\r\nHost: host.example\r\nX-Attempt-Id: bad\r\nAuthorization: Token key-1\r\n" + fields + "\r\n";
+}
+
+const BadInput badInputs[] = {
+    {"no HTTP", "hello\r\n\r\n", 400},
+    {"two lengths", withFields("Content-Length: 1\r\nContent-Length: 2\r\n") + "ab", 400},
+    {"length and chunked", withFields("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n", 400},
+    {"broken chunk", withFields("Transfer-Encoding: chunked\r\n") + "zz\r\n", 400},
+    {"head too large", withFields("X-Large: " + std::string(5000, 'a') + "\r\n"), 431},
+    {"body too large", withFields("Content-Length: 70000\r\n"), 413},
+    {"chunked body too large", withFields("Transfer-Encoding: chunked\r\n") + "11170\r\n" + std::string(70000, 'a'), 413},
+    {"head never ends", "GET /read/x HTTP/1.1\r\nHost: host.example\r\n", 408},
+    {"body never ends", withFields("Content-Length: 10\r\n") + "abc", 408},
+    {"unknown path", withFields("", "GET /nowhere HTTP/1.1"), 404},
+    {"unknown key", "GET /read/x HTTP/1.1\r\nHost: host.example\r\nAuthorization: Token other\r\n\r\n", 401},
+    {"other scheme", "GET /read/x HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer key-1\r\n\r\n", 401},
+    {"no key", "GET /read/x HTTP/1.1\r\nHost: host.example\r\n\r\n", 401},
+};
+
+/// An answer of a target that must not reach a caller as a success.
+struct BadAnswer {
+    const char *name;
+    RawReply (*reply)(const RawRequest &);
+};
+std::ostream &operator<<(std::ostream &out, const BadAnswer &bad)
+{
+    return out << bad.name;
+}
+
+RawReply garbage(const RawRequest &)
+{
+    return {"\x16\x03\x01 not an answer"};
+}
+
+RawReply withoutSeal(const RawRequest &request)
+{
+    return {"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.field("X-Attempt-Id") + "\r\nContent-Length: 4\r\n\r\nfine"};
+}
+
+RawReply withOtherId(const RawRequest &)
+{
+    return {"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Response-Seal: s\r\nContent-Length: 4\r\n\r\nfine"};
+}
+
+RawReply encoded(const RawRequest &request)
+{
+    return {sealedAnswer(request, "fine", "HTTP/1.1 200 OK", "Content-Encoding: gzip\r\n")};
+}
+
+RawReply cutShort(const RawRequest &request)
+{
+    RawReply reply{sealedAnswer(request, "fine")};
+    reply.bytes.pop_back();
+    reply.closes = true;
+    return reply;
+}
+
+RawReply resetWithoutLength(const RawRequest &request)
+{
+    return {"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.field("X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n\r\nfi", false, true};
+}
+
+RawReply noAnswer(const RawRequest &)
+{
+    return {"", true};
+}
+
+RawReply brokenChunk(const RawRequest &request)
+{
+    return {"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.field("X-Attempt-Id") + "\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfineX"};
+}
+
+const BadAnswer badAnswers[] = {
+    {"garbage", garbage},    {"without seal", withoutSeal}, {"another request's id", withOtherId},        {"encoded", encoded},
+    {"cut short", cutShort}, {"no answer", noAnswer},       {"reset without length", resetWithoutLength}, {"broken chunk", brokenChunk},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayCallsTest)
+
+BOOST_AUTO_TEST_CASE(aRequestIsPassedOnUnchangedButForItsOwnFields)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/a?b=c", "id-1", "two bytes \r\n\x01",
+                                        "X-Own: kept\r\nX-Tenant: forged\r\nX-Expect-Instance: forged\r\nConnection: X-Drop\r\nX-Drop: 1\r\n");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 200);
+    BOOST_TEST(call->body() == "fine");
+    BOOST_TEST(call->field("X-Response-Seal") == "seal-1");
+    BOOST_REQUIRE(target.requests().size() == 1U);
+    const RawRequest &seen = target.requests()[0];
+    BOOST_TEST(seen.head.starts_with("POST /book/a?b=c HTTP/1.1\r\n"));
+    BOOST_TEST(seen.body == "two bytes \r\n\x01");
+    BOOST_TEST(seen.field("X-Own") == "kept");
+    BOOST_TEST(seen.field("X-Tenant") == "studio");
+    BOOST_TEST(seen.field("X-Expect-Instance") == "t1");
+    BOOST_TEST(seen.field("Authorization").empty());
+    BOOST_TEST(seen.field("X-Drop").empty());
+    const int left = std::stoi(seen.field("X-Deadline-Ms"));
+    BOOST_TEST(left <= 2000);
+    BOOST_TEST(left > 1000);
+}
+
+BOOST_AUTO_TEST_CASE(aChunkedBodyReachesTheTargetWhole)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr call = system.send(withFields("Transfer-Encoding: chunked\r\n") + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(target.requests().at(0).body == "abcde");
+    BOOST_TEST(target.requests().at(0).field("Content-Length") == "5");
+}
+
+BOOST_DATA_TEST_CASE(badInputIsAnsweredAndReachesNoTarget, boost::unit_test::data::make(badInputs), bad)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr call = system.send(bad.bytes);
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == bad.status);
+    BOOST_TEST(target.requests().empty());
+}
+
+BOOST_DATA_TEST_CASE(aRepeatableRequestIsServedByAnotherTarget, boost::unit_test::data::make(badAnswers), bad)
+{
+    // The first target that is asked spoils its answer; the request may run again, so that the caller gets the other
+    // target's whole answer and no byte of the first.
+    RelaySystem system;
+    int asked = 0;
+    const auto handler = [&](const RawRequest &request) {
+        return ++asked == 1 ? bad.reply(request) : answerWell(request);
+    };
+    system.addTarget("t1", handler);
+    system.addTarget("t2", handler);
+    system.waitReady();
+    const RawCallPtr call = system.call("GET", "/read/x", "id-1");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 200);
+    BOOST_TEST(call->body() == "fine");
+    BOOST_TEST(asked == 2);
+}
+
+BOOST_DATA_TEST_CASE(aRequestThatMayNotRepeatIsNeverSentTwice, boost::unit_test::data::make(badAnswers), bad)
+{
+    // The target has the request and spoils its answer: it may have run. The caller must not be told that it did not, and
+    // no other target may get it.
+    RelaySystem system;
+    int asked = 0;
+    const auto handler = [&](const RawRequest &request) {
+        ++asked;
+        return bad.reply(request);
+    };
+    system.addTarget("t1", handler);
+    system.addTarget("t2", handler);
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "id-1", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 502);
+    BOOST_TEST(call->field("X-Response-Seal").empty());
+    system.idle(milliseconds(100));
+    BOOST_TEST(asked == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aTargetThatDidNotRunItLeavesTheCallerFreeToComeBack)
+{
+    RelaySystem system;
+    system.addTarget("t1", [](const RawRequest &request) {
+        return RawReply{sealedAnswer(request, "", "HTTP/1.1 503 Full", "X-Not-Executed: 1\r\n")};
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "id-1", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 503);
+    BOOST_TEST(!call->field("Retry-After").empty());
+    BOOST_TEST(call->field("X-Response-Seal").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a503WithoutAPromiseIsNotPassedOnAsOne)
+{
+    // A target answers 503 and does not say that it did not run the request. To callers a 503 is a promise: a booking
+    // answered so would be made again.
+    RelaySystem system;
+    system.addTarget("t1", [](const RawRequest &request) {
+        return RawReply{sealedAnswer(request, "", "HTTP/1.1 503 Broken")};
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "id-1", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 502);
+}
+
+BOOST_AUTO_TEST_CASE(aTargetsOwnFailureIsPassedOnWithItsSeal)
+{
+    RelaySystem system;
+    system.addTarget("t1", [](const RawRequest &request) {
+        return RawReply{sealedAnswer(request, "no seat", "HTTP/1.1 500 Failed")};
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "id-1", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 500);
+    BOOST_TEST(call->body() == "no seat");
+    BOOST_TEST(call->field("X-Response-Seal") == "seal-1");
+}
+
+BOOST_AUTO_TEST_CASE(aSecondAnswerIsNotTakenForTheNext)
+{
+    // A target answers one request twice. The second answer arrives where the answer to the next request on the connection
+    // is due: without a look at its id, another caller would get it.
+    RelaySystem system;
+    int asked = 0;
+    system.addTarget("t1", [&](const RawRequest &request) {
+        RawReply reply = answerWell(request);
+        if (++asked == 2) {
+            reply.bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nstale" + sealedAnswer(request, "second");
+        }
+        return reply;
+    });
+    system.waitReady();
+    const RawCallPtr first = system.call("GET", "/read/x", "id-1");
+    system.wait("first answer", [&] {
+        return first->isWhole();
+    });
+    const RawCallPtr second = system.call("GET", "/read/x", "id-2");
+    system.wait("second answer", [&] {
+        return second->isWhole();
+    });
+    BOOST_TEST(second->status() == 200);
+    BOOST_TEST(second->body() == "second");
+}
+
+BOOST_AUTO_TEST_CASE(bytesOnAnIdleConnectionEndIt)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr first = system.call("GET", "/read/x", "id-1");
+    system.wait("first answer", [&] {
+        return first->isWhole();
+    });
+    target.sendUnasked("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-2\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nstale");
+    system.idle(milliseconds(50));
+    const RawCallPtr second = system.call("GET", "/read/x", "id-2");
+    system.wait("second answer", [&] {
+        return second->isWhole();
+    });
+    BOOST_TEST(second->body() == "fine");
+    BOOST_TEST(target.requests().at(1).connection == 2);
+}
+
+BOOST_AUTO_TEST_CASE(keptConnectionsAreUsedOnlyForWhatMayRepeat)
+{
+    // A target closes idle connections when it likes. A booking sent on one that was just closed is reset, and nobody knows
+    // whether it ran: it gets a connection of its own.
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    for (const char *path : {"/read/x", "/read/x", "/book/x", "/book/x"}) {
+        const RawCallPtr call = system.call("POST", path, path, "body");
+        system.wait("answer", [&] {
+            return call->isWhole();
+        });
+    }
+    BOOST_TEST(target.requests().at(0).connection == target.requests().at(1).connection);
+    BOOST_TEST(target.requests().at(2).connection == 2);
+    BOOST_TEST(target.requests().at(3).connection == 3);
+}
+
+BOOST_AUTO_TEST_CASE(aStaleConnectionCostsNobodyHisAnswer)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", [](const RawRequest &request) {
+        // The second request of a connection is met by a reset, as by a target that had closed it.
+        return request.field("X-Attempt-Id") == "id-2" && request.connection == 1 ? RawReply{"", false, true} : answerWell(request);
+    });
+    system.waitReady();
+    for (const char *id : {"id-1", "id-2"}) {
+        const RawCallPtr call = system.call("GET", "/read/x", id);
+        system.wait("answer", [&] {
+            return call->isWhole();
+        });
+        BOOST_TEST(call->status() == 200);
+    }
+    BOOST_TEST(target.requests().back().connection == 2);
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerBeforeTheBodyWasReadEndsItsConnection)
+{
+    // A target answers a request of 40 KB before it has read it and reads on later. Another request sent on that connection
+    // would be taken for the rest of the body.
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr first = system.call("POST", "/read/x", "id-1", std::string(40000, 'a'));
+    system.wait("first answer", [&] {
+        return first->isWhole();
+    });
+    const RawCallPtr second = system.call("POST", "/read/x", "id-2", "b");
+    system.wait("second answer", [&] {
+        return second->isWhole();
+    });
+    BOOST_TEST(second->status() == 200);
+    BOOST_TEST(target.requests().at(0).body.size() == 40000U);
+    BOOST_TEST(target.requests().at(1).body == "b");
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesFreesTheTarget)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", [](const RawRequest &request) {
+        RawReply reply = answerWell(request);
+        reply.delay = milliseconds(60000);
+        return reply;
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("GET", "/read/x", "id-1");
+    system.wait("request at the target", [&] {
+        return target.requests().size() == 1;
+    });
+    call->connection->close();
+    system.wait("connection closed", [&] {
+        return target.closedConnections() == 1;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aRequestIsGivenUpAtItsRoutesTimeout)
+{
+    RelaySystemOptions options;
+    options.callTimeout = milliseconds(200);
+    RelaySystem system(options);
+    StandIn::RawTarget &target = system.addTarget("t1", [](const RawRequest &request) {
+        RawReply reply = answerWell(request);
+        reply.delay = milliseconds(60000);
+        return reply;
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "id-1", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 504);
+    system.wait("connection closed", [&] {
+        return target.closedConnections() == 1;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(aDrainingTargetGetsNothingNew)
+{
+    RelaySystem system;
+    StandIn::RawTarget &leaving = system.addTarget("t1", answerWell);
+    StandIn::RawTarget &staying = system.addTarget("t2", answerWell);
+    system.waitReady();
+    system.list("t1", "shop", leaving.address(), "draining");
+    system.idle(milliseconds(200));
+    for (int i = 0; i < 5; ++i) {
+        const RawCallPtr call = system.call("GET", "/read/x", "id-" + std::to_string(i));
+        system.wait("answer", [&] {
+            return call->isWhole();
+        });
+    }
+    BOOST_TEST(leaving.requests().empty());
+    BOOST_TEST(staying.requests().size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(aRevokedKeyIsRefusedAndANewOneServed)
+{
+    RelaySystem system;
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    system.configure(2, {"key-2"});
+    system.idle(milliseconds(200));
+    const RawCallPtr old = system.call("GET", "/read/x", "id-1");
+    system.wait("answer", [&] {
+        return old->isWhole();
+    });
+    BOOST_TEST(old->status() == 401);
+    const RawCallPtr fresh = system.send("GET /read/x HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: id-2\r\nAuthorization: Token key-2\r\n\r\n");
+    system.wait("answer", [&] {
+        return fresh->isWhole();
+    });
+    BOOST_TEST(fresh->status() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(anOlderConfigurationIsNeverTaken)
+{
+    RelaySystemOptions options;
+    options.version = 5;
+    RelaySystem system(options);
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    system.configure(4, {"key-old"});
+    system.idle(milliseconds(200));
+    const RawCallPtr call = system.call("GET", "/read/x", "id-1");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(publicRoutesNeedNoKeyAndNameNoWorkspace)
+{
+    RelaySystem system;
+    StandIn::RawTarget &target = system.addTarget("t1", answerWell);
+    system.waitReady();
+    const RawCallPtr call = system.send("GET /open/x HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: id-1\r\nX-Tenant: forged\r\n\r\n");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 200);
+    BOOST_TEST(target.requests().at(0).field("X-Tenant").empty());
+}
+
+BOOST_AUTO_TEST_CASE(withoutTheStoreARelayIsNotReadyAndPromisesNothingItMayNotKeep)
+{
+    // The store is away when a relay starts: it knows no configuration and can't say that a path or a key is unknown.
+    RelaySystemOptions options;
+    options.relays = 0;
+    RelaySystem system(options);
+    system.store().faults().isDown = true;
+    RelaySystemOptions one;
+    RelaySystem other(one);
+    other.store().faults().isDown = true;
+    const RawCallPtr call = other.call("GET", "/read/x", "id-1");
+    other.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 503);
+    BOOST_TEST(!call->field("Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(whileTheStoreIsAwayWhatIsKnownIsServedAndWhatIsNotIsNotDenied)
+{
+    RelaySystem system;
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    system.store().faults().isDown = true;
+    system.idle(milliseconds(3500));
+    const RawCallPtr known = system.call("GET", "/read/x", "id-1");
+    const RawCallPtr unknown = system.call("GET", "/nowhere/x", "id-2");
+    system.wait("answers", [&] {
+        return known->isWhole() && unknown->isWhole();
+    });
+    BOOST_TEST(known->status() == 200);
+    BOOST_TEST(unknown->status() == 503);
+}
+
+BOOST_AUTO_TEST_CASE(aRelayThatTheStoreTurnsAwayLearnsFromItsPeers)
+{
+    // The store answers one relay and not the other. A key is revoked meanwhile: the relay that is turned away must learn
+    // it from its peer, as it could not refuse the key otherwise.
+    RelaySystemOptions options;
+    options.relays = 2;
+    StandIn::RawTarget *gate = nullptr;
+    options.tune = [&](RelaySettings &settings) {
+        if (settings.id == "entry-1" && gate) {
+            settings.store = gate->address().toString();
+        }
+    };
+    RelaySystem system(options);
+    StandIn::RawTarget refusing(system.loop(), [](const RawRequest &) {
+        return RawReply{"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"};
+    });
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    gate = &refusing;
+    system.stopRelay(1);
+    system.startRelay(1);
+    system.wait("ready by its peer's rows", [&] {
+        return system.isReady(1);
+    });
+    system.configure(2, {"key-2"});
+    system.wait("the old key is refused", [&] {
+        const RawCallPtr call = system.send(system.request("GET", "/read/x", "id-1"), 1);
+        system.wait("answer", [&] {
+            return call->isWhole();
+        });
+        return call->status() != 200;
+    });
+    system.stopRelay(1);
+}
+
+BOOST_AUTO_TEST_CASE(aStoppingRelayAnswersWhatItHasAndEnds)
+{
+    RelaySystem system;
+    system.addTarget("t1", [](const RawRequest &request) {
+        RawReply reply = answerWell(request);
+        reply.delay = milliseconds(500);
+        return reply;
+    });
+    system.waitReady();
+    const RawCallPtr open = system.call("GET", "/read/x", "id-1");
+    system.idle(milliseconds(50));
+    bool isFinished = false;
+    system.relay().drain([&] {
+        isFinished = true;
+    });
+    BOOST_TEST(!system.isReady());
+    const RawCallPtr late = system.call("GET", "/read/x", "id-2");
+    system.wait("both answers", [&] {
+        return open->isWhole() && late->isWhole();
+    });
+    BOOST_TEST(open->status() == 200);
+    BOOST_TEST(late->status() == 200);
+    BOOST_TEST(late->field("Connection") == "close");
+    system.wait("end", [&] {
+        return isFinished;
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay_policy_test.cpp
@@ -0,0 +1,432 @@
+// The relay's decisions, without a network: routes, the fleet, placement of layers, choice of chains.
+#include "base/text.h"
+#include "policy/chain_choice.h"
+#include "policy/fleet.h"
+#include "policy/placement.h"
+#include "policy/routes.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace Parsleytrail;
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::seconds(1000)};
+
+/// A model of 80 layers over accelerators of four sizes.
+EngineModel largeModel()
+{
+    EngineModel model;
+    model.layers = 80;
+    model.layerMb = 1750;
+    model.kvTokenBytes = 590000;
+    model.stepMs = 0.85;
+    model.stepMsPerSequence = 0.004;
+    model.stepsPerPass = 2;
+    model.kinds = {{"huge", 72000, 1.4, 1}, {"large", 36000, 3.1, 3.2}, {"middle", 21600, 16, 8.2}, {"small", 14400, 15, 15}};
+    return model;
+}
+
+/// The same with light layers, so that any engine can hold any range.
+EngineModel lightModel()
+{
+    EngineModel model = largeModel();
+    model.layerMb = 100;
+    return model;
+}
+
+/// Engines of the given kinds in one data centre.
+std::vector<PlacedEngine> makeEngines(const std::string &dataCenter, const std::map<std::string, int> &kinds)
+{
+    std::vector<PlacedEngine> engines;
+    for (const auto &[kind, count] : kinds) {
+        for (int i = 0; i < count; ++i) {
+            PlacedEngine engine;
+            engine.id = {joined({dataCenter, kind, std::to_string(i)}, "-")};
+            engine.dataCenter = dataCenter;
+            engine.kind = kind;
+            engines.push_back(engine);
+        }
+    }
+    return engines;
+}
+
+void carryOut(std::vector<PlacedEngine> &engines, const std::vector<PlacementOrder> &orders)
+{
+    for (const PlacementOrder &order : orders) {
+        const auto engine = std::find_if(engines.begin(), engines.end(), [&](const PlacedEngine &candidate) {
+            return candidate.id == order.id;
+        });
+        BOOST_REQUIRE(engine != engines.end());
+        engine->layers = order.layers;
+    }
+}
+
+/// Plans until nothing changes.
+int settle(const EngineModel &model, std::vector<PlacedEngine> &engines)
+{
+    int rounds = 0;
+    for (auto orders = planPlacement(model, engines); !orders.empty(); orders = planPlacement(model, engines)) {
+        carryOut(engines, orders);
+        BOOST_REQUIRE(++rounds < 10);
+    }
+    return rounds;
+}
+
+void checkMemory(const EngineModel &model, const std::vector<PlacedEngine> &engines)
+{
+    for (const PlacedEngine &engine : engines) {
+        BOOST_TEST(engine.layers.count() * model.layerMb <= findKind(model, engine.kind)->memoryMb);
+    }
+}
+
+/// A fleet of engines that hold the given ranges.
+struct FleetBuilder {
+    Fleet fleet;
+    int next = 0;
+
+    TargetId add(const std::string &dataCenter, LayerRange layers, const std::string &kind = "middle")
+    {
+        ListedTarget listed;
+        listed.id = {"e" + std::to_string(next++)};
+        listed.service = {"chat"};
+        listed.address = {"10.0.0." + std::to_string(next), 80};
+        listed.dataCenter = dataCenter;
+        listed.accelerator = kind;
+        listed.layers = layers;
+        noteListed(fleet, listed, start);
+        return listed.id;
+    }
+};
+
+ChainSituation situationIn(const EngineModel &model, const std::string &dataCenter)
+{
+    ChainSituation situation;
+    situation.model = &model;
+    situation.service = {"chat"};
+    situation.dataCenter = dataCenter;
+    situation.now = start;
+    return situation;
+}
+
+/// Every layer once and in order, no engine twice, each part held by its engine.
+void checkChain(const EngineModel &model, const Fleet &fleet, const std::vector<ChainPart> &chain)
+{
+    BOOST_REQUIRE(!chain.empty());
+    int next = 0;
+    std::set<TargetId> seen;
+    for (const ChainPart &part : chain) {
+        BOOST_TEST(part.layers.from == next);
+        BOOST_TEST(part.layers.count() > 0);
+        BOOST_TEST(seen.insert(part.id).second);
+        BOOST_TEST(findTarget(fleet, part.id)->listed.layers.contains(part.layers));
+        next = part.layers.to;
+    }
+    BOOST_TEST(next == model.layers);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayPolicyTest)
+
+BOOST_AUTO_TEST_CASE(theLongestPrefixOfTheHostWins)
+{
+    RouteTable table;
+    table.routes = {{"a", "one", "/"}, {"b", "one", "/x/"}, {"c", "one", "/x/y/"}, {"d", "two", "/x/"}};
+    indexRoutes(table);
+    BOOST_TEST(findRoute(table, "one", "/x/y/z")->name == "c");
+    BOOST_TEST(findRoute(table, "ONE:8080", "/x/yy")->name == "b");
+    BOOST_TEST(findRoute(table, "one", "/q")->name == "a");
+    BOOST_TEST(findRoute(table, "two", "/x/")->name == "d");
+    BOOST_TEST(findRoute(table, "two", "/x") == nullptr);
+    BOOST_TEST(findRoute(table, "three", "/x/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(servicesShareARouteByWeight)
+{
+    RouteTable table;
+    table.services[{"a"}].name = {"a"};
+    table.services[{"b"}].name = {"b"};
+    Route route;
+    route.services = {{{"a"}, 90}, {{"gone"}, 50}, {{"b"}, 10}, {{"unused"}, 0}};
+    BOOST_TEST((pickService(table, route, 0.0)->name == ServiceName{"a"}));
+    BOOST_TEST((pickService(table, route, 0.59)->name == ServiceName{"a"}));
+    BOOST_TEST((pickService(table, route, 0.99)->name == ServiceName{"b"}));
+    route.services = {{{"gone"}, 1}};
+    BOOST_TEST(pickService(table, route, 0.5) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(aRestartUnderTheSameIdForgetsWhatWasSeen)
+{
+    // An engine crashes, is avoided, and comes back under its old id: holding nothing, and working.
+    // What was seen of the start before must not keep it out; an entry of that start that comes late must not bring it back.
+    Fleet fleet;
+    ListedTarget listed;
+    listed.id = {"e"};
+    listed.startedAtMs = 100;
+    listed.layers = {0, 10};
+    BOOST_TEST(noteListed(fleet, listed, start));
+    Target *target = findTarget(fleet, listed.id);
+    noteFailure(*target, start);
+    target->needsProbe = true;
+    BOOST_TEST(!isUsable(*target, start));
+    const ListedTarget before = listed;
+    listed.startedAtMs = 200;
+    listed.layers = {};
+    BOOST_TEST(noteListed(fleet, listed, start));
+    BOOST_TEST(isUsable(*findTarget(fleet, listed.id), start));
+    BOOST_TEST(!noteListed(fleet, before, start));
+    BOOST_TEST(findTarget(fleet, listed.id)->listed.layers.count() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(failuresInARowAreAvoidedLonger)
+{
+    Target target;
+    noteFailure(target, start);
+    BOOST_TEST(!isUsable(target, start + firstAvoidance - milliseconds(1)));
+    BOOST_TEST(isUsable(target, start + firstAvoidance));
+    for (int i = 0; i < 20; ++i) {
+        noteFailure(target, start);
+    }
+    BOOST_TEST(!isUsable(target, start + longestAvoidance - milliseconds(1)));
+    BOOST_TEST(isUsable(target, start + longestAvoidance));
+    noteSuccess(target);
+    BOOST_TEST(isUsable(target, start));
+}
+
+BOOST_AUTO_TEST_CASE(eachDataCenterGetsAWholeModel)
+{
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 1}, {"middle", 8}, {"small", 3}});
+    for (const PlacedEngine &engine : makeEngines("b", {{"large", 2}, {"middle", 4}, {"small", 7}})) {
+        engines.push_back(engine);
+    }
+    settle(model, engines);
+    BOOST_TEST(missingLayers(model, engines, "a").empty());
+    BOOST_TEST(missingLayers(model, engines, "b").empty());
+    checkMemory(model, engines);
+    BOOST_TEST(planPlacement(model, engines).empty());
+}
+
+BOOST_AUTO_TEST_CASE(dataCentersTooSmallForAModelShareOne)
+{
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 3}});
+    for (const PlacedEngine &engine : makeEngines("b", {{"large", 3}})) {
+        engines.push_back(engine);
+    }
+    settle(model, engines);
+    std::vector<PlacedEngine> together = engines;
+    for (PlacedEngine &engine : together) {
+        engine.dataCenter = "both";
+    }
+    BOOST_TEST(missingLayers(model, together, "both").empty());
+    checkMemory(model, engines);
+}
+
+BOOST_AUTO_TEST_CASE(aLostEngineIsReplacedByTheOthers)
+{
+    // Each engine of a data centre is lost in turn. All layers must be held again, at the cost of few loads, and no engine
+    // may be told to hold more than it can.
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 1}, {"middle", 8}, {"small", 3}});
+    settle(model, engines);
+    for (std::size_t lost = 0; lost < engines.size(); ++lost) {
+        std::vector<PlacedEngine> rest = engines;
+        rest.erase(rest.begin() + lost);
+        settle(model, rest);
+        BOOST_TEST(missingLayers(model, rest, "a").empty());
+        checkMemory(model, rest);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(anEmptyEngineTakesTheGapAndNobodyElseMoves)
+{
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"middle", 12}});
+    settle(model, engines);
+    const LayerRange gap = engines[5].layers;
+    engines[5].isLeaving = true;
+    PlacedEngine newcomer;
+    newcomer.id = {"a-new"};
+    newcomer.dataCenter = "a";
+    newcomer.kind = "middle";
+    newcomer.isNew = true;
+    engines.push_back(newcomer);
+    const std::vector<PlacementOrder> orders = planPlacement(model, engines);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(orders[0].id.value == "a-new");
+    BOOST_TEST((orders[0].layers == gap));
+}
+
+BOOST_AUTO_TEST_CASE(aNewcomerIsKeptFreeForAWhile)
+{
+    // Engines are replaced one by one, the new one first. Loaded with other layers at once, it could not take those of the
+    // engine that leaves a moment later.
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"middle", 12}});
+    settle(model, engines);
+    PlacedEngine newcomer;
+    newcomer.id = {"a-new"};
+    newcomer.dataCenter = "a";
+    newcomer.kind = "middle";
+    newcomer.isNew = true;
+    engines.push_back(newcomer);
+    BOOST_TEST(planPlacement(model, engines).empty());
+    engines.back().isNew = false;
+    BOOST_TEST(planPlacement(model, engines).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(enginesUnderOrderAreLeftAlone)
+{
+    // A second engine is lost while the neighbours of the first load its layers. A cut around engines that take no order
+    // moved most of the others (a data centre without a chain for four seconds): the plan waits instead.
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"middle", 12}});
+    settle(model, engines);
+    engines[2].isLeaving = true;
+    const std::vector<PlacementOrder> first = planPlacement(model, engines);
+    BOOST_REQUIRE(!first.empty());
+    carryOut(engines, first);
+    for (const PlacementOrder &order : first) {
+        for (PlacedEngine &engine : engines) {
+            engine.isFixed = engine.isFixed || engine.id == order.id;
+        }
+    }
+    engines[9].isLeaving = true;
+    for (const PlacementOrder &order : planPlacement(model, engines)) {
+        for (const PlacedEngine &engine : engines) {
+            BOOST_TEST((!engine.isFixed || engine.id != order.id));
+        }
+    }
+    for (PlacedEngine &engine : engines) {
+        engine.isFixed = false;
+    }
+    settle(model, engines);
+    BOOST_TEST(missingLayers(model, engines, "a").empty());
+}
+
+BOOST_AUTO_TEST_CASE(randomFleetsKeepAllLayersThroughLosses)
+{
+    // Twenty fleets of random kinds; a third of the engines is lost one by one. As long as the rest could hold the model
+    // at the emergency share, it must.
+    const EngineModel model = largeModel();
+    const PlacementTuning tuning;
+    for (int seed = 0; seed < 20; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto draw = [&random](int most) {
+            return std::uniform_int_distribution<int>(0, most)(random);
+        };
+        std::vector<PlacedEngine> engines = makeEngines("a", {{"huge", draw(2)}, {"large", draw(4)}, {"middle", 6 + draw(8)}, {"small", 3 + draw(8)}});
+        settle(model, engines);
+        const std::size_t losses = engines.size() / 3;
+        for (std::size_t lost = 0; lost < losses; ++lost) {
+            engines.erase(engines.begin() + draw(static_cast<int>(engines.size()) - 1));
+            int room = 0;
+            for (const PlacedEngine &engine : engines) {
+                room += static_cast<int>(findKind(model, engine.kind)->memoryMb * tuning.emergencyShare / model.layerMb);
+            }
+            double memory = 0;
+            for (const PlacedEngine &engine : engines) {
+                memory += findKind(model, engine.kind)->memoryMb;
+            }
+            if (room < model.layers || memory * tuning.emergencyShare < model.layers * model.layerMb) {
+                break;
+            }
+            settle(model, engines);
+            BOOST_TEST(missingLayers(model, engines, "a").empty(), "seed " << seed << " after " << lost + 1 << " losses");
+            checkMemory(model, engines);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(chainsApplyEveryLayerOnce)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    builder.add("a", {0, 30});
+    builder.add("a", {20, 50});
+    builder.add("a", {25, 60});
+    builder.add("a", {45, 80});
+    builder.add("a", {0, 45});
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 50; ++i) {
+        checkChain(model, builder.fleet, chooseChain(builder.fleet, situationIn(model, "a"), {100, 50}, random));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(chainsStayInADataCenter)
+{
+    // The home data centre lacks layers 40-60. Activations of every token would cross twice; a whole chain elsewhere moves
+    // only the events.
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    builder.add("home", {0, 40});
+    builder.add("home", {60, 80});
+    const TargetId first = builder.add("away", {0, 40});
+    builder.add("away", {40, 80});
+    std::mt19937_64 random(1);
+    const std::vector<ChainPart> chain = chooseChain(builder.fleet, situationIn(model, "home"), {100, 50}, random);
+    checkChain(model, builder.fleet, chain);
+    BOOST_TEST(chain.size() == 2U);
+    BOOST_TEST((chain[0].id == first));
+}
+
+BOOST_AUTO_TEST_CASE(loadSpreadsOverEqualEngines)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId busy = builder.add("a", {0, 80}, "huge");
+    const TargetId idle = builder.add("a", {0, 80}, "huge");
+    findTarget(builder.fleet, busy)->openRequests = 40;
+    findTarget(builder.fleet, idle)->peersOpenRequests = 10;
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 20; ++i) {
+        const std::vector<ChainPart> chain = chooseChain(builder.fleet, situationIn(model, "a"), {100, 50}, random);
+        BOOST_REQUIRE(chain.size() == 1U);
+        BOOST_TEST((chain[0].id == idle));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fullEnginesAndFailedOnesAreLeftOut)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId only = builder.add("a", {0, 40}, "huge");
+    const TargetId second = builder.add("a", {40, 80}, "huge");
+    std::mt19937_64 random(1);
+    const ChainSituation situation = situationIn(model, "a");
+    BOOST_TEST(!chooseChain(builder.fleet, situation, {100, 50}, random).empty());
+    Target *target = findTarget(builder.fleet, second);
+    target->peersKvTokenLayers = kvCapacity(model, target->listed);
+    BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
+    target->peersKvTokenLayers = 0;
+    noteFailure(*findTarget(builder.fleet, only), start);
+    BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
+    BOOST_TEST(!coversAllLayers(builder.fleet, situation));
+}
+
+BOOST_AUTO_TEST_CASE(aRunningRequestKeepsItsFirstPart)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId first = builder.add("a", {0, 30});
+    const TargetId dead = builder.add("a", {30, 80}, "huge");
+    builder.add("a", {20, 80}, "huge");
+    builder.add("a", {0, 80}, "huge");
+    ChainSituation situation = situationIn(model, "a");
+    situation.current = {{first, {}, {0, 30}}, {dead, {}, {30, 80}}};
+    situation.excluded = {dead};
+    std::mt19937_64 random(1);
+    const std::vector<ChainPart> chain = chooseChain(builder.fleet, situation, {100, 50}, random);
+    checkChain(model, builder.fleet, chain);
+    BOOST_TEST((chain[0].id == first));
+    BOOST_TEST((chain[0].layers == LayerRange{0, 30}));
+    BOOST_TEST((chain[1].id != dead));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay_system.cpp
@@ -0,0 +1,343 @@
+#include "tests/relay_system.h"
+
+#include "base/text.h"
+#include "http/client.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Parsleytrail::Test
+{
+
+using Json = nlohmann::json;
+
+// [SECTION] RawCall
+
+static bool parseHead(const RawCall &call, HttpHead &head)
+{
+    return parseAnswerHead(call.received, 1 << 20, head) == ParseResult::Complete;
+}
+
+/// Body bytes received, and whether the body is whole.
+static std::pair<std::string, bool> parseBody(const RawCall &call)
+{
+    HttpHead head;
+    if (!parseHead(call, head)) {
+        return {};
+    }
+    BodyPlan plan = planAnswerBody(head, false);
+    std::string body;
+    readBody(plan.reader, std::string_view(call.received).substr(head.text.size()), body);
+    return {body, plan.reader.isComplete};
+}
+
+int RawCall::status() const
+{
+    HttpHead head;
+    return parseHead(*this, head) ? head.status : 0;
+}
+
+std::string RawCall::field(std::string_view name) const
+{
+    HttpHead head;
+    return parseHead(*this, head) ? std::string(head.find(name)) : std::string();
+}
+
+std::string RawCall::body() const
+{
+    return parseBody(*this).first;
+}
+
+bool RawCall::isWhole() const
+{
+    return parseBody(*this).second;
+}
+
+std::vector<int> RawCall::eventIds() const
+{
+    std::vector<int> ids;
+    const std::string text = body();
+    std::string_view rest = text;
+    StreamEvent event;
+    while (parseEvent(rest, event) == ParseResult::Complete) {
+        ids.push_back(static_cast<int>(event.id));
+        rest = rest.substr(event.bytes.size());
+    }
+    return ids;
+}
+
+// [SECTION] RelaySystem
+
+struct RunningRelay {
+    RelaySettings settings;
+    std::unique_ptr<Relay> relay;
+    int starts = 0;
+};
+
+struct RelaySystem::Private {
+    explicit Private(RelaySystemOptions systemOptions)
+        : options(std::move(systemOptions))
+        , store(loop)
+        , engines(loop, options.engineOptions)
+        , client(loop)
+    {
+    }
+
+    RelaySystemOptions options;
+    EventLoop loop;
+    SystemClock clock;
+    std::unique_ptr<Dialect> dialect = makePlatformDialect();
+    StandIn::TableStore store;
+    StandIn::ChainEngines engines;
+    HttpClient client;
+    std::vector<std::unique_ptr<StandIn::RawTarget>> targets;
+    std::vector<std::unique_ptr<RunningRelay>> relays;
+    std::map<std::string, Address> engineAddresses;
+    std::map<std::string, int> heartbeats;
+    std::vector<std::unique_ptr<Timer>> timers;
+    Address storeAddress;
+};
+
+RelaySystem::RelaySystem(RelaySystemOptions options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+    Error error;
+    const bool isListening = runCatching(
+        [this]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(d->storeAddress, d->store.listen({"127.0.0.1", 0}));
+            return {};
+        },
+        error);
+    BOOST_REQUIRE_MESSAGE(isListening, error.toString());
+    configure(d->options.version);
+    for (int i = 0; i < d->options.engines; ++i) {
+        const std::string id = "engine-" + std::to_string(i);
+        d->engineAddresses[id] = d->engines.add(id);
+        listEngine(id);
+    }
+    for (int i = 0; i < d->options.relays; ++i) {
+        d->relays.push_back(std::make_unique<RunningRelay>());
+        startRelay(d->relays.size() - 1);
+    }
+}
+
+RelaySystem::~RelaySystem()
+{
+    d->relays.clear();
+}
+
+void RelaySystem::startRelay(std::size_t index)
+{
+    RunningRelay &running = *d->relays.at(index);
+    RelaySettings &settings = running.settings;
+    settings.id = "entry-" + std::to_string(index);
+    settings.region = "here";
+    settings.dataCenter = "dc-1";
+    // Peers share a port, as on instances of their own: each has its own loopback address.
+    settings.host = "127.0.0." + std::to_string(10 + index);
+    settings.callerAddress = settings.host + ":0";
+    settings.readinessAddress = settings.host + ":0";
+    settings.peerPort = 17431;
+    settings.metricsPort = 0;
+    settings.seeds = {"127.0.0.10:1"};
+    settings.store = d->storeAddress.toString();
+    settings.storeWatch = milliseconds(300);
+    settings.stopTimeout = milliseconds(8000);
+    if (d->options.tune) {
+        d->options.tune(settings);
+    }
+    running.relay = std::make_unique<Relay>(d->loop, d->clock, *d->dialect, settings);
+    Error error;
+    const bool isStarted = runCatching(
+        [&running] {
+            return running.relay->start();
+        },
+        error);
+    BOOST_REQUIRE_MESSAGE(isStarted, error.toString());
+}
+
+void RelaySystem::stopRelay(std::size_t index)
+{
+    d->relays.at(index)->relay.reset();
+}
+
+void RelaySystem::wait(const char *what, const std::function<bool()> &done)
+{
+    BOOST_REQUIRE_MESSAGE(d->loop.runUntil(done, milliseconds(60000)), "waited too long: " << what);
+}
+
+void RelaySystem::idle(milliseconds time)
+{
+    d->loop.runUntil(
+        [] {
+            return false;
+        },
+        time);
+}
+
+StandIn::RawTarget &RelaySystem::addTarget(const std::string &id, StandIn::RawTarget::Handler handler)
+{
+    d->targets.push_back(std::make_unique<StandIn::RawTarget>(d->loop, std::move(handler)));
+    list(id, "shop", d->targets.back()->address());
+    return *d->targets.back();
+}
+
+void RelaySystem::list(const std::string &id, const std::string &service, const Address &address, const std::string &state)
+{
+    Json entry = {{"service", service}, {"address", address.toString()}, {"zone", "dc-1"}, {"version", "v1"}, {"batchSlots", 6}, {"state", state},
+                  {"coldLeftMs", 0},    {"seqNo", ++d->heartbeats[id]},  {"born", 1000}};
+    if (service == "chat") {
+        const LayerRange layers = d->engines.layers(id);
+        entry["kind"] = "small";
+        entry["layers"] = {{"from", layers.from}, {"to", layers.to}, {"version", 1}};
+    }
+    d->store.put("servers", id, entry.dump());
+}
+
+void RelaySystem::listEngine(const std::string &id, const std::string &state)
+{
+    list(id, "chat", d->engineAddresses.at(id), state);
+}
+
+void RelaySystem::unlist(const std::string &id)
+{
+    d->store.remove("servers", id);
+}
+
+void RelaySystem::configure(int version, const std::vector<std::string> &keys)
+{
+    const int layers = d->options.engineOptions.layers;
+    const auto route = [this](const char *name, const char *prefix, const char *kind, const char *service, int attempts) {
+        return Json{{"name", name},
+                    {"host", "host.example"},
+                    {"prefix", prefix},
+                    {"kind", kind},
+                    {"timeoutMs", d->options.callTimeout.count()},
+                    {"targetLatencyMs", 300},
+                    {"priority", 1},
+                    {"service", service},
+                    {"maxAttempts", attempts},
+                    {"public", false}};
+    };
+    Json stream = route("r-chat", "/chat/", "streaming", "chat", 2);
+    stream["resumable"] = true;
+    stream["timeoutMs"] = 20000;
+    Json open = route("r-open", "/open/", "idempotent", "shop", 2);
+    open["public"] = true;
+    const Json engine = {{"batchSlots", 192},
+                         {"kvTokenBytes", 8000},
+                         {"stride", 1},
+                         {"models", Json::array({{{"name", "m"}, {"loadS", 1.0}}})},
+                         {"step_ms", 1.0},
+                         {"per_seq_ms", 0.001},
+                         {"read_per_s", 100000.0},
+                         {"loads_at_once", 6},
+                         {"usual", {{"prompt", 100}, {"answer", 20}}},
+                         {"layers", layers},
+                         {"layerMb", 100.0},
+                         {"kinds", Json::array({{{"name", "small"}, {"mb", 640.0}, {"pace", 1.0}, {"readX", 1.0}}})}};
+    const Json configuration = {
+        {"version", version},
+        {"routes", Json::array({route("r-book", "/book/", "non_idempotent", "shop", 1), route("r-read", "/read/", "idempotent", "shop", 2), stream, open})},
+        {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
+                                  {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
+        {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
+        {"tenants", Json::array({{{"name", "studio"}, {"apiKeys", keys}}})}};
+    d->store.put("op", "config", configuration.dump());
+}
+
+bool RelaySystem::isReady(std::size_t relay)
+{
+    return d->relays.at(relay)->relay->isReady();
+}
+
+void RelaySystem::waitReady()
+{
+    wait("all relays ready", [this] {
+        for (std::size_t i = 0; i < d->relays.size(); ++i) {
+            if (!isReady(i)) {
+                return false;
+            }
+        }
+        return true;
+    });
+}
+
+void RelaySystem::waitPlaced()
+{
+    wait("layers placed", [this] {
+        std::vector<int> copies(d->options.engineOptions.layers, 0);
+        for (const auto &[id, address] : d->engineAddresses) {
+            const LayerRange layers = d->engines.layers(id);
+            for (int layer = layers.from; layer < layers.to; ++layer) {
+                ++copies[layer];
+            }
+        }
+        return std::find(copies.begin(), copies.end(), 0) == copies.end();
+    });
+    for (const auto &[id, address] : d->engineAddresses) {
+        listEngine(id);
+    }
+    idle(milliseconds(150));
+}
+
+RawCallPtr RelaySystem::send(const std::string &bytes, std::size_t relay)
+{
+    auto call = std::make_shared<RawCall>();
+    const RunningRelay &running = *d->relays.at(relay);
+    call->connection = Connection::connect(d->loop, {running.settings.host, running.relay->callerPort()}, milliseconds(5000));
+    Connection::Handlers handlers;
+    handlers.onInput = [raw = call.get()] {
+        raw->received += raw->connection->input();
+        raw->connection->input().clear();
+    };
+    handlers.onEnd = [raw = call.get()](ConnectionEnd) {
+        raw->isClosed = true;
+    };
+    call->connection->setHandlers(std::move(handlers));
+    call->connection->write(bytes);
+    return call;
+}
+
+std::string RelaySystem::request(const std::string &method, const std::string &path, const std::string &id, const std::string &body,
+                                 const std::string &moreFields) const
+{
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: " + id
+                       + "\r\nX-Deadline-Ms: 20000\r\nAuthorization: Token key-1\r\n" + moreFields;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + body;
+}
+
+RawCallPtr RelaySystem::call(const std::string &method, const std::string &path, const std::string &id, const std::string &body, const std::string &moreFields)
+{
+    return send(request(method, path, id, body, moreFields));
+}
+
+RawCallPtr RelaySystem::stream(const std::string &id, const std::string &moreFields)
+{
+    return call("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n" + moreFields);
+}
+
+EventLoop &RelaySystem::loop()
+{
+    return d->loop;
+}
+
+StandIn::TableStore &RelaySystem::store()
+{
+    return d->store;
+}
+
+StandIn::ChainEngines &RelaySystem::engines()
+{
+    return d->engines;
+}
+
+Relay &RelaySystem::relay(std::size_t index)
+{
+    return *d->relays.at(index)->relay;
+}
+
+} // namespace Parsleytrail::Test
