--- a/src/relay/table_feed.cpp
+++ b/src/relay/table_feed.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds longestRetryPause{1000}; ///< bounds how late the store's return is noticed
 /// A change is followed by others: the watch goes on after this pause, so that they come in one answer. A fraction of
 /// the time in which a configuration must be in force.
-constexpr milliseconds watchPause{50};
+constexpr milliseconds watchPause{200};
 /// Failures in a row after which the store counts as lost: one may be a connection that was closed in order.
 constexpr int failuresUntilLost = 2;
 
