Targets of plain services are not asked for reports

Found from the log: TargetAvoided with reason 'status 400'.

Change: only engines are asked; a test that failed first (3 requests at the target, now 1).

--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -63,7 +63,9 @@
 void EngineProber::Private::ask(const TargetId &id, milliseconds timeout)
 {
     const Target *target = findTarget(context.fleet, id);
-    if (!target || !asked.insert(id).second) {
+    // Targets of plain services know no report and would answer it as a failure.
+    const bool isEngine = target && !target->listed.accelerator.empty();
+    if (!isEngine || !asked.insert(id).second) {
         return;
     }
     ++context.metrics.probes;
--- a/tests/relay_calls_test.cpp
+++ b/tests/relay_calls_test.cpp
@@ -535,6 +535,26 @@
     system.stopRelay(1);
 }
 
+BOOST_AUTO_TEST_CASE(aPlainTargetThatAPeerAvoidsIsNotAskedForAReport)
+{
+    // One relay avoids a target after a reset and tells its peer. Plain services know no report: asked for one they answer
+    // 400, which was taken for a failure, so that a single reset had all relays avoid a sound target again and again.
+    RelaySystemOptions options;
+    options.relays = 2;
+    RelaySystem system(options);
+    StandIn::RawTarget &target = system.addTarget("t1", [](const RawRequest &request) {
+        return request.field("X-Attempt-Id") == "bad" ? RawReply{"", false, true} : answerWell(request);
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("POST", "/book/x", "bad", "seat 4");
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 502);
+    system.idle(milliseconds(700));
+    BOOST_TEST(target.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aStoppingRelayAnswersWhatItHasAndEnds)
 {
     RelaySystem system;
