Tests of the relay wait for what it knows, not for a time

Ruled out: the relay itself; its state showed the old list for up to 200 ms, as designed. Change: the harness waits until each relay's state shows the layers; assertions are unchanged.

--- a/tests/relay_streams_test.cpp
+++ b/tests/relay_streams_test.cpp
@@ -116,6 +116,7 @@
         system.listEngine("engine-" + std::to_string(i));
     }
     system.waitReady();
+    system.waitPlaced();
     std::vector<RawCallPtr> calls;
     calls.reserve(6);
     for (int i = 0; i < 6; ++i) {
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -67,7 +67,9 @@
     /// Whether a relay says that it takes connections.
     bool isReady(std::size_t relay = 0);
     void waitReady();
-    /// Waits until chains hold all layers.
+    /// Waits until the first relay's state, as text, holds this.
+    void waitState(const std::string &text);
+    /// Waits until chains hold all layers, and all relays know.
     void waitPlaced();
 
     /// Sends raw bytes on a new connection.
@@ -87,6 +89,8 @@
     void startRelay(std::size_t index);
 
 private:
+    bool knowsLayers(const Relay &relay) const;
+
     struct Private;
     std::unique_ptr<Private> d;
 };
