Connections that are being closed belong to their sessions

Cause: a connection that was sending its last bytes held itself, so that a process that ended meanwhile never freed it.

Change: the owner keeps it until it is told that it is closed. The relay's cases under address, leak and undefined checks: no errors.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -25,6 +25,7 @@
     Handler handler;
     SessionLimits limits{};
     std::set<std::shared_ptr<CallerSession>> sessions{};
+    std::set<ConnectionPtr> closing{}; ///< answered, sending the rest
     std::unique_ptr<Timer> tick{};
     std::size_t openExchanges = 0;
     bool isDraining = false;
@@ -190,7 +191,10 @@
     hasPartOfHead = false;
     waitingSince = owner->clock.now();
     if (done->d->closes || owner->isDraining) {
-        connection->closeAfterWriting();
+        owner->closing.insert(connection);
+        connection->closeAfterWriting([owner = owner, raw = connection.get()] {
+            owner->closing.erase(raw->shared_from_this());
+        });
         owner->sessions.erase(shared_from_this());
         return;
     }
@@ -419,6 +423,9 @@
     for (const auto &session : std::exchange(d->sessions, {})) {
         session->connection->close();
     }
+    for (const ConnectionPtr &connection : std::exchange(d->closing, {})) {
+        connection->close();
+    }
 }
 
 void CallerSessions::setLimits(const SessionLimits &limits)
--- a/src/relay/connection.cpp
+++ b/src/relay/connection.cpp
@@ -299,15 +299,16 @@
     close();
 }
 
-void Connection::closeAfterWriting()
+void Connection::closeAfterWriting(std::function<void()> onClosed)
 {
     if (d->socket < 0) {
         return;
     }
     d->isClosing = true;
-    // The connection owns itself until it ends.
     d->handlers = {};
-    d->handlers.onEnd = [self = shared_from_this()](ConnectionEnd) {};
+    d->handlers.onEnd = [onClosed = std::move(onClosed)](ConnectionEnd) {
+        onClosed();
+    };
     pauseReading(false);
     d->limit->start(lingerTime);
     if (waiting() == 0) {
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -58,8 +58,9 @@
     /// Closes with a reset, so that the peer can't take what it has for a whole answer; no handler follows.
     void reset();
     /// Sends what is waiting, then closes, reading and dropping what the peer still sends for up to a second: closing with
-    /// unread bytes would reset the connection and could destroy the answer on its way.
-    void closeAfterWriting();
+    /// unread bytes would reset the connection and could destroy the answer on its way. The owner keeps the connection
+    /// until `onClosed`; no other handler follows.
+    void closeAfterWriting(std::function<void()> onClosed);
 
 private:
     struct Private;
--- a/stand-ins/raw_target.cpp
+++ b/stand-ins/raw_target.cpp
@@ -1,6 +1,7 @@
 #include "stand-ins/raw_target.h"
 
 #include <map>
+#include <set>
 
 namespace Parsleytrail::StandIn
 {
@@ -29,6 +30,7 @@
     std::unique_ptr<Listener> listener;
     std::vector<RawRequest> requests;
     std::map<int, ConnectionPtr> connections;
+    std::set<ConnectionPtr> closing;
     std::vector<std::unique_ptr<Timer>> delays;
     int accepted = 0;
     int closed = 0;
@@ -81,7 +83,10 @@
         if (reply.resets) {
             connection->reset();
         } else {
-            connection->closeAfterWriting();
+            closing.insert(connection);
+            connection->closeAfterWriting([this, connection = connection.get()] {
+                closing.erase(connection->shared_from_this());
+            });
         }
     }
 }
@@ -114,6 +119,9 @@
 RawTarget::~RawTarget()
 {
     closeConnections();
+    for (const ConnectionPtr &connection : std::exchange(d->closing, {})) {
+        connection->close();
+    }
 }
 
 Address RawTarget::address() const
