--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -41,6 +41,11 @@
     return tryRetry(budgetOf(context, service));
 }
 
+bool hasRetry(RelayContext &context, const ServiceName &service)
+{
+    return budgetOf(context, service).saved >= 1;
+}
+
 bool hasSpareRetries(RelayContext &context, const ServiceName &service)
 {
     const RetryBudget &budget = budgetOf(context, service);
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -54,6 +54,8 @@
 void setLiveEntries(RelayContext &context, int entries);
 /// Takes one repeated send of this entry's part of the service's budget; false if it is spent.
 bool tryRetry(RelayContext &context, const ServiceName &service);
+/// Whether a repeated send could be taken now.
+bool hasRetry(RelayContext &context, const ServiceName &service);
 /// Whether more than half of this entry's part is left: for repeats that could be done without.
 bool hasSpareRetries(RelayContext &context, const ServiceName &service);
 /// Counts a request towards the budget.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -511,15 +511,17 @@
     }
 }
 
-/// Begins again after the last event at another chain, if that may be.
+/// Begins again after the last event at another chain, if that may be. If not, the stream stays where it is: an engine that
+/// is silent may go on, and an answer that is cut here is lost for certain.
 void StreamForwarding::moveAway(std::string_view reason)
 {
-    if (!canRepeat() || m_sent > m_request.route->maxAttempts) {
+    const int sent = m_isStream ? m_sent : m_sent + 1;
+    const bool hasTime = m_context.clock.now() + shortestAttempt < m_request.deadline;
+    const bool mayBeginAnew = canRepeat() && sent < m_request.route->maxAttempts && hasTime && hasRetry(m_context, m_request.service->name);
+    if (!mayBeginAnew) {
         return;
     }
-    if (!m_isStream) {
-        ++m_sent;
-    }
+    m_sent = sent;
     retryOrEnd(reason, true);
 }
 
--- a/tests/relay_streams_test.cpp
+++ b/tests/relay_streams_test.cpp
@@ -141,6 +141,34 @@
     BOOST_TEST(system.engines().badChains() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(aStalledStreamIsNotCutWhenItMayNotBeginAnew)
+{
+    // An engine pauses for two seconds, and the retry budget is spent: the stream can't begin anew elsewhere. Cut by the
+    // relay it would be lost; left alone it goes on when the engine does.
+    RelaySystemOptions options = withEngines(2);
+    options.engineOptions.stallTimeout = milliseconds(20000);
+    options.tune = [](RelaySettings &settings) {
+        settings.retryShare = 0;
+        settings.retryBurst = 0;
+    };
+    RelaySystem system(options);
+    system.waitReady();
+    system.waitPlaced();
+    const std::string pausing = engineWith(system, 2, false);
+    const LayerRange layers = system.engines().layers(pausing);
+    const RawCallPtr call = system.stream("s-1");
+    system.wait("some events", [&] {
+        return call->eventIds().size() >= 5;
+    });
+    system.engines().setLayers(pausing, {});
+    system.idle(milliseconds(2000));
+    system.engines().setLayers(pausing, layers);
+    system.wait("answer", [&] {
+        return call->isWhole() || call->isClosed;
+    });
+    checkWhole(call);
+}
+
 BOOST_AUTO_TEST_CASE(theLayersOfALostEngineAreLoadedElsewhere)
 {
     // An engine that alone holds its layers is gone. New streams are refused as not run, with a time to come back; within
