--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -13,8 +13,11 @@
 
 /// Reading from an engine stops while its caller has this much to take.
 constexpr std::size_t maxWaitingBytes = 64 * 1024;
-/// A stream that has begun waits this long for a chain to go on: callers leave after two seconds without an event.
-constexpr milliseconds longestCallerPause{1700};
+/// A stream that has begun waits this long for a chain to go on. Callers leave after two seconds without an event: it is
+/// theirs to end the answer.
+constexpr milliseconds longestCallerPause{2500};
+/// Between two looks for a chain; each may cost a retry.
+constexpr milliseconds waitInterval{150};
 /// A stream with no near way around an engine that is about to go begins anew elsewhere after this time: loads that the
 /// engine is to make wait for it.
 constexpr milliseconds leavePatience{400};
@@ -83,6 +86,7 @@
     bool startMove(const ChainTuning &tuning);
     void takeMove(bool isMoved, int move);
     void moveAway(std::string_view reason);
+    void goOnWaiting(TimePoint now);
     void refuseWithoutChain(const ChainSituation &situation);
     void reserve(int direction);
     void takeHead(const HttpHead &head);
@@ -115,6 +119,7 @@
     std::uint64_t m_lastEvent = 0;  ///< id of the last event passed on
     std::uint64_t m_firstEvent = 0; ///< id after which the caller wants events
     TimePoint m_progressAt{};       ///< of the start of the attempt or its last event
+    TimePoint m_waitedAt{};         ///< when a chain was last looked for while waiting
     TimePoint m_leavingSince{};     ///< when an engine of the chain was first seen to be about to go, with no near way around it
     TimePoint m_askedAt{};          ///< when the first engine was last asked for stalls
     TimePoint m_firstByteAt{};
@@ -420,6 +425,11 @@
         noteRetry(m_context, m_request, reason, firstTarget(), m_sent);
         return startAttempt();
     }
+    if (isAllowed && hasTime && !mayHaveRun && m_request.exchange->isBegun()) {
+        // Refused elsewhere without having run: the caller has a part of its answer, and a chain or a retry is often there soon.
+        m_isWaitingForChain = true;
+        return;
+    }
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, reason, firstTarget(), m_sent);
     } else {
@@ -525,6 +535,20 @@
     retryOrEnd(reason, true);
 }
 
+/// Looks for a chain again, until the caller would have left.
+void StreamForwarding::goOnWaiting(TimePoint now)
+{
+    if (now - m_eventAt >= longestCallerPause) {
+        failRequest(m_context, m_request, "no chain to go on", firstTarget(), m_sent);
+        return end();
+    }
+    const bool isDue = now - m_waitedAt >= waitInterval;
+    if (isDue && tryRetry(m_context, m_request.service->name)) {
+        m_waitedAt = now;
+        startAttempt();
+    }
+}
+
 void StreamForwarding::checkTime(TimePoint now)
 {
     if (m_isOver) {
@@ -535,7 +559,7 @@
         return end();
     }
     if (m_isWaitingForChain) {
-        return startAttempt();
+        return goOnWaiting(now);
     }
     const milliseconds stall = m_hasEvents ? eventStall : firstEventStall;
     if (m_chain.empty() || now - m_progressAt < stall || now - m_askedAt < stallQuestionInterval) {
