One base for forwarding to plain services and to engines

Following the caller, sending to a target and ending stood twice, word for word, in call_forwarding and stream_forwarding; ending an exchange stood twice in caller_session. A count of connections that nobody read and a flag that nobody asked are gone.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -1,5 +1,5 @@
 // Forwarding to plain services: one request, one answer.
-#include "relay/forwarded_request.h"
+#include "relay/target_forwarding.h"
 
 #include <algorithm>
 
@@ -17,12 +17,11 @@
 /// When a service without a usable target is expected to have one: engines restart within seconds.
 constexpr milliseconds missingRetryAfter{1000};
 
-class CallForwarding final : public Forwarding
+class CallForwarding final : public TargetForwarding
 {
 public:
     CallForwarding(RelayContext &context, ForwardedRequest request)
-        : m_context(context)
-        , m_request(std::move(request))
+        : TargetForwarding(context, std::move(request))
     {
     }
 
@@ -36,10 +35,6 @@
     {
         // A call lasts milliseconds; its target goes on serving for longer.
     }
-    bool isOver() const override
-    {
-        return m_isOver;
-    }
     const std::vector<ChainPart> &chain() const override
     {
         static const std::vector<ChainPart> none;
@@ -53,44 +48,29 @@
 private:
     Target *chooseTarget();
     void startAttempt();
-    void takeHead(const HttpHead &head);
-    void takeBody(std::string &body);
-    void takeEnd();
-    void takeFailure(const TargetFailure &failure);
+    void takeHead(const HttpHead &head) override;
+    void takeBody(std::string &body) override;
+    void takeEnd() override;
+    void takeFailure(const TargetFailure &failure) override;
+    void endAttempt() override;
     void retryOrEnd(std::string_view reason, bool mayHaveRun, bool isFull);
     void passOn();
-    void endAttempt();
-    void end();
-    bool canRepeat() const
+    bool canRepeat() const override
     {
         return m_request.route->kind == CallKind::Idempotent;
     }
 
-    RelayContext &m_context;
-    ForwardedRequest m_request;
-    TargetExchangePtr m_exchange;
     TargetId m_target;
     std::vector<TargetId> m_failed; ///< targets that are not asked again
     std::string m_body;             ///< of the answer, held
     TimePoint m_firstByteAt{};
-    int m_sent = 0;             ///< targets that got bytes of the request
-    bool m_mayHaveRun = false;  ///< in an attempt before
     bool m_isPassingOn = false; ///< the answer was too large to hold
-    bool m_isOver = false;
-    bool m_isCounted = false; ///< as open at the target
+    bool m_isCounted = false;   ///< as open at the target
 };
 
 void CallForwarding::begin()
 {
-    m_request.exchange->onGone([self = shared_from_this(), this] {
-        noteCallerGone(m_context, m_request, m_sent);
-        end();
-    });
-    m_request.exchange->onDrained([this] {
-        if (m_exchange) {
-            m_exchange->pauseReading(false);
-        }
-    });
+    followCaller();
     startAttempt();
 }
 
@@ -134,30 +114,8 @@
     m_target = target->listed.id;
     ++target->openRequests;
     m_isCounted = true;
-    TargetRequest request;
-    request.address = target->listed.address;
-    request.bytes = requestBytes(m_context, m_request, m_target, {});
-    request.isHead = m_request.exchange->head().method == "HEAD";
-    // A target may close a kept connection just as a request comes; the reset does not tell whether it ran. Requests that
-    // must not run twice could not be sent again then: each gets a connection that is certainly fresh.
-    request.allowsKept = canRepeat();
-    request.idField = m_context.dialect.headers().attemptId;
-    request.id = m_request.attemptId;
-    TargetExchange::Handlers handlers;
-    handlers.onHead = [self = shared_from_this(), this](const HttpHead &head) {
-        takeHead(head);
-    };
-    handlers.onBody = [self = shared_from_this(), this](std::string &body) {
-        takeBody(body);
-    };
-    handlers.onDone = [self = shared_from_this(), this] {
-        takeEnd();
-    };
-    handlers.onFailure = [self = shared_from_this(), this](const TargetFailure &failure) {
-        takeFailure(failure);
-    };
     m_body.clear();
-    m_exchange = TargetExchange::start(m_context.connections, std::move(request), std::move(handlers));
+    sendTo(m_target, target->listed.address, {});
 }
 
 void CallForwarding::endAttempt()
@@ -166,15 +124,7 @@
         target->openRequests = std::max(0, target->openRequests - 1);
     }
     m_isCounted = false;
-    if (m_exchange) {
-        std::exchange(m_exchange, nullptr)->cancel();
-    }
-}
-
-void CallForwarding::end()
-{
-    endAttempt();
-    m_isOver = true;
+    cancelExchange();
 }
 
 void CallForwarding::takeHead(const HttpHead &)
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -42,6 +42,8 @@
     bool isOver = false;
     bool isChunked = false;
     bool closes = false; ///< the connection ends with this answer
+
+    std::shared_ptr<CallerSession> takeSession();
 };
 
 /// One connection.
@@ -244,6 +246,18 @@
 
 // [SECTION] CallerExchange
 
+/// Ends the exchange's use of its session; null if it was over already. No handler follows.
+std::shared_ptr<CallerSession> CallerExchange::Private::takeSession()
+{
+    if (isOver) {
+        return nullptr;
+    }
+    isOver = true;
+    onGone = nullptr;
+    onDrained = nullptr;
+    return session.lock();
+}
+
 CallerExchange::CallerExchange()
     : d(std::make_unique<Private>())
 {
@@ -353,13 +367,10 @@
 
 void CallerExchange::complete()
 {
-    const auto session = d->session.lock();
-    if (d->isOver || !session) {
+    const auto session = d->takeSession();
+    if (!session) {
         return;
     }
-    d->isOver = true;
-    d->onGone = nullptr;
-    d->onDrained = nullptr;
     if (d->isChunked) {
         session->connection->write("0\r\n\r\n");
     }
@@ -368,13 +379,10 @@
 
 void CallerExchange::cut()
 {
-    const auto session = d->session.lock();
-    if (d->isOver || !session) {
+    const auto session = d->takeSession();
+    if (!session) {
         return;
     }
-    d->isOver = true;
-    d->onGone = nullptr;
-    d->onDrained = nullptr;
     --session->owner->openExchanges;
     session->isAnswering = false;
     session->exchange.reset();
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -32,7 +32,6 @@
     LayerRange layers;    ///< ordered
     TimePoint sentAt{};   ///< when
     TimePoint polledAt{}; ///< when the engine was last asked
-    bool isAnswered = false;
 };
 
 struct PlacementDuty::Private {
@@ -229,7 +228,6 @@
     if (order == pending.end()) {
         return;
     }
-    order->second.isAnswered = true;
     if (!result.isOk()) {
         // Refused, or nobody knows: the engine tells what it holds, and the next plan starts from there.
         pending.erase(order);
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -1,5 +1,5 @@
 // Forwarding to engines: a chain for each attempt, events passed on one by one, resumed where they broke off.
-#include "relay/forwarded_request.h"
+#include "relay/target_forwarding.h"
 
 #include "base/log.h"
 #include "base/text.h"
@@ -52,12 +52,11 @@
     return milliseconds(static_cast<std::int64_t>(std::clamp(context.usualGapMs * stallFactor, minStallMs, maxStallMs)));
 }
 
-class StreamForwarding final : public Forwarding
+class StreamForwarding final : public TargetForwarding
 {
 public:
     StreamForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
-        : m_context(context)
-        , m_request(std::move(request))
+        : TargetForwarding(context, std::move(request))
         , m_hooks(hooks)
     {
     }
@@ -66,10 +65,6 @@
     void checkTime(TimePoint now) override;
     void noteDeadTarget(const TargetId &id) override;
     void leaveGoingEngines() override;
-    bool isOver() const override
-    {
-        return m_isOver;
-    }
     const std::vector<ChainPart> &chain() const override
     {
         return m_chain;
@@ -89,17 +84,16 @@
     void goOnWaiting(TimePoint now);
     void refuseWithoutChain(const ChainSituation &situation);
     void reserve(int direction);
-    void takeHead(const HttpHead &head);
-    void takeBody(std::string &body);
+    void takeHead(const HttpHead &head) override;
+    void takeBody(std::string &body) override;
     void takeEvents(std::string &body);
     void passEvent(const StreamEvent &event);
-    void takeEnd();
+    void takeEnd() override;
     void takeRefusal(const HttpHead &head);
-    void takeFailure(const TargetFailure &failure);
+    void takeFailure(const TargetFailure &failure) override;
     void retryOrEnd(std::string_view reason, bool mayHaveRun);
-    void endAttempt();
-    void end();
-    bool canRepeat() const
+    void endAttempt() override;
+    bool canRepeat() const override
     {
         return m_request.route->isResumable;
     }
@@ -108,13 +102,10 @@
         return m_chain.empty() ? std::string() : m_chain.front().id.value;
     }
 
-    RelayContext &m_context;
-    ForwardedRequest m_request;
     const ForwardingHooks &m_hooks;
     StreamDemand m_demand;
     std::vector<ChainPart> m_chain;
     std::set<TargetId> m_excluded;
-    TargetExchangePtr m_exchange;
     std::string m_body;             ///< of an answer that is no stream
     std::uint64_t m_lastEvent = 0;  ///< id of the last event passed on
     std::uint64_t m_firstEvent = 0; ///< id after which the caller wants events
@@ -125,16 +116,13 @@
     TimePoint m_firstByteAt{};
     TimePoint m_eventAt{};        ///< of the last event passed on
     milliseconds m_longestGap{0}; ///< between two events passed on
-    int m_sent = 0;               ///< attempts that an engine may have begun
     int m_refusals = 0;           ///< attempts that engines refused without running them
-    bool m_mayHaveRun = false;    ///< in an attempt before
     bool m_isStream = false;      ///< this attempt's answer is an event stream
     bool m_hasEvents = false;     ///< this attempt has brought events
     bool m_isReserved = false;
     bool m_isWaitingForChain = false; ///< the answer has begun and no chain is there to go on
-    bool m_isOver = false;
-    int m_moves = 0;       ///< times the running request was given another chain
-    bool m_sawGap = false; ///< an event was missing: this attempt can't be passed on
+    int m_moves = 0;                  ///< times the running request was given another chain
+    bool m_sawGap = false;            ///< an event was missing: this attempt can't be passed on
 };
 
 /// Refusals by engines after which a stream is not tried elsewhere: each costs a round trip and a share of the budget.
@@ -143,15 +131,7 @@
 void StreamForwarding::begin()
 {
     readDemand();
-    m_request.exchange->onGone([self = shared_from_this(), this] {
-        noteCallerGone(m_context, m_request, m_sent);
-        end();
-    });
-    m_request.exchange->onDrained([this] {
-        if (m_exchange) {
-            m_exchange->pauseReading(false);
-        }
-    });
+    followCaller();
     startAttempt();
 }
 
@@ -235,32 +215,13 @@
     if (m_lastEvent > m_firstEvent) {
         added.push_back({names.lastEventId, std::to_string(m_lastEvent)});
     }
-    TargetRequest request;
-    request.address = m_chain.front().address;
-    request.bytes = requestBytes(m_context, m_request, m_chain.front().id, added);
-    request.allowsKept = canRepeat();
-    request.idField = names.attemptId;
-    request.id = m_request.attemptId;
-    TargetExchange::Handlers handlers;
-    handlers.onHead = [self = shared_from_this(), this](const HttpHead &head) {
-        takeHead(head);
-    };
-    handlers.onBody = [self = shared_from_this(), this](std::string &body) {
-        takeBody(body);
-    };
-    handlers.onDone = [self = shared_from_this(), this] {
-        takeEnd();
-    };
-    handlers.onFailure = [self = shared_from_this(), this](const TargetFailure &failure) {
-        takeFailure(failure);
-    };
     m_body.clear();
     m_isStream = false;
     m_hasEvents = false;
     m_sawGap = false;
     m_progressAt = situation.now;
     m_askedAt = situation.now;
-    m_exchange = TargetExchange::start(m_context.connections, std::move(request), std::move(handlers));
+    sendTo(m_chain.front().id, m_chain.front().address, added);
 }
 
 void StreamForwarding::endAttempt()
@@ -268,15 +229,7 @@
     if (m_isReserved) {
         reserve(-1);
     }
-    if (m_exchange) {
-        std::exchange(m_exchange, nullptr)->cancel();
-    }
-}
-
-void StreamForwarding::end()
-{
-    endAttempt();
-    m_isOver = true;
+    cancelExchange();
 }
 
 void StreamForwarding::takeHead(const HttpHead &head)
@@ -575,8 +528,6 @@
     }
 }
 
-ForwardingPtr makeCallForwarding(RelayContext &context, ForwardedRequest request);
-
 ForwardingPtr makeForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
 {
     const bool isChained = request.route->kind == CallKind::Stream && request.service->engine;
--- a/src/relay/target_exchange.cpp
+++ b/src/relay/target_exchange.cpp
@@ -28,7 +28,6 @@
     const Clock &clock;
     std::map<Address, std::vector<KeptConnection>> kept{};
     std::unique_ptr<Timer> sweep{};
-    std::uint64_t opened = 0;
 
     void forget(const Address &address, const Connection *connection)
     {
@@ -124,16 +123,6 @@
     return d->loop;
 }
 
-std::uint64_t TargetConnections::opened() const
-{
-    return d->opened;
-}
-
-void TargetConnections::countOpened()
-{
-    ++d->opened;
-}
-
 // [SECTION] TargetExchange
 
 struct TargetExchange::Private {
@@ -198,7 +187,6 @@
     }
     if (!data.connection) {
         data.connection = Connection::connect(connections.loop(), data.request.address, connectTimeout);
-        connections.countOpened();
     }
     if (!data.connection) {
         connections.loop().defer([exchange] {
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -25,8 +25,6 @@
     /// Drops all kept connections to an address: its target is gone.
     void drop(const Address &address);
     EventLoop &loop() const;
-    std::uint64_t opened() const;
-    void countOpened();
 
 private:
     struct Private;
--- /dev/null
+++ b/src/relay/target_forwarding.cpp
@@ -0,0 +1,65 @@
+#include "relay/target_forwarding.h"
+
+namespace Parsleytrail
+{
+
+TargetForwarding::TargetForwarding(RelayContext &context, ForwardedRequest request)
+    : m_context(context)
+    , m_request(std::move(request))
+{
+}
+
+void TargetForwarding::followCaller()
+{
+    m_request.exchange->onGone([self = shared_from_this(), this] {
+        noteCallerGone(m_context, m_request, m_sent);
+        end();
+    });
+    m_request.exchange->onDrained([this] {
+        if (m_exchange) {
+            m_exchange->pauseReading(false);
+        }
+    });
+}
+
+void TargetForwarding::sendTo(const TargetId &target, const Address &address, const std::vector<AddedField> &added)
+{
+    TargetRequest request;
+    request.address = address;
+    request.bytes = requestBytes(m_context, m_request, target, added);
+    request.isHead = m_request.exchange->head().method == "HEAD";
+    // A target may close a kept connection just as a request comes; the reset does not tell whether it ran. Requests that
+    // must not run twice could not be sent again then: each gets a connection that is certainly fresh.
+    request.allowsKept = canRepeat();
+    request.idField = m_context.dialect.headers().attemptId;
+    request.id = m_request.attemptId;
+    TargetExchange::Handlers handlers;
+    handlers.onHead = [self = shared_from_this(), this](const HttpHead &head) {
+        takeHead(head);
+    };
+    handlers.onBody = [self = shared_from_this(), this](std::string &body) {
+        takeBody(body);
+    };
+    handlers.onDone = [self = shared_from_this(), this] {
+        takeEnd();
+    };
+    handlers.onFailure = [self = shared_from_this(), this](const TargetFailure &failure) {
+        takeFailure(failure);
+    };
+    m_exchange = TargetExchange::start(m_context.connections, std::move(request), std::move(handlers));
+}
+
+void TargetForwarding::cancelExchange()
+{
+    if (m_exchange) {
+        std::exchange(m_exchange, nullptr)->cancel();
+    }
+}
+
+void TargetForwarding::end()
+{
+    endAttempt();
+    m_isOver = true;
+}
+
+} // namespace Parsleytrail
