Streams are moved again and again, stay in their data centre, and begin where there are slots

Change: moves stay in the data centre and are tried every 150 ms while an engine of the chain fails; a first engine takes 0.95 of its slots; refusals pause an engine (200 ms doubling to 1.6 s) and are not told as failures; one failed request is settled by a question at once.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -12,6 +12,7 @@
     double stepMsPerLayer = 0;      ///< expected time of one layer of a pass
     double kvRoom = 0;              ///< tokens x layers
     double kvFill = 0;              ///< 0 empty to 1 full
+    bool isFullAsFirst = false;     ///< takes no more requests from entries; parts of chains that began elsewhere it does
     std::size_t dataCenter = 0;     ///< index
 };
 
@@ -64,6 +65,7 @@
         const double used = target.kvTokenLayers + target.peersKvTokenLayers;
         candidate.kvRoom = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
+        candidate.isFullAsFirst = target.listed.slots > 0 && open >= target.listed.slots * tuning.slotLimit;
         candidate.dataCenter = indexOf(dataCenters, target.listed.dataCenter);
         candidates.push_back(candidate);
     }
@@ -113,6 +115,10 @@
     {
         return situation.current.empty() || layers.from > 0 || isPart(situation.current.front(), id, layers);
     }
+    bool isFullStart(std::size_t boundary, const Candidate &candidate) const
+    {
+        return boundary == 0 && situation.current.empty() && candidate.isFullAsFirst;
+    }
     double keepFactor(const TargetId &id, const LayerRange &layers) const
     {
         const bool isKept = std::any_of(situation.current.begin(), situation.current.end(), [&](const ChainPart &part) {
@@ -159,7 +165,7 @@
                 }
                 for (int index = 0; index < static_cast<int>(candidates.size()); ++index) {
                     const LayerRange &held = candidates[index].target->listed.layers;
-                    if (held.from <= boundaries[boundary] && boundaries[boundary] < held.to) {
+                    if (held.from <= boundaries[boundary] && boundaries[boundary] < held.to && !isFullStart(boundary, candidates[index])) {
                         relax(boundary, dataCenter, index);
                     }
                 }
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -57,6 +57,9 @@
     /// Share of an engine's KV cache that is planned for. Answers are longer than expected half of the time; an engine
     /// that runs out stops its newest request and reads it again.
     double kvFillLimit = 0.92;
+    /// Share of a first engine's slots that is planned for: counts of other entries are some hundred milliseconds old, and
+    /// an engine over its slots queues, then refuses.
+    double slotLimit = 0.95;
     /// Factor on the cost of a part that a running request already has: a new part reads all tokens so far.
     double keptPartFactor = 0.3;
     /// Random share added to each cost, so that entries with equal views do not all choose the same engine.
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -12,6 +12,7 @@
         Target &added = fleet.targets[listed.id];
         added.listed = listed;
         added.listedAt = now;
+        added.hasReturned = !fleet.knownAddresses.insert(listed.address).second;
         return true;
     }
     Target &known = it->second;
@@ -25,6 +26,7 @@
         known = Target();
         known.openRequests = openRequests;
         known.listedAt = now;
+        known.hasReturned = true;
     }
     known.listed = listed;
     return true;
@@ -72,9 +74,30 @@
     ++target.failuresInRow;
 }
 
+void noteRefusal(Target &target, TimePoint now)
+{
+    const int doublings = std::min(target.refusalsInRow, 8);
+    const milliseconds pause = std::min(firstRefusalPause * (1 << doublings), longestRefusalPause);
+    target.avoidUntil = std::max(target.avoidUntil, now + pause);
+    ++target.refusalsInRow;
+}
+
+bool isFailing(const Target &target, TimePoint now)
+{
+    return target.failuresInRow > 0 && !target.listed.isDraining && !isUsable(target, now);
+}
+
+void noteAnswer(Target &target)
+{
+    target.silencesInRow = 0;
+    target.needsProbe = false;
+}
+
 void noteSuccess(Target &target)
 {
+    target.silencesInRow = 0;
     target.failuresInRow = 0;
+    target.refusalsInRow = 0;
     target.needsProbe = false;
     target.avoidUntil = TimePoint();
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,10 +56,15 @@
 struct Target {
     ListedTarget listed;              ///< newest entry of the registry
     TimePoint listedAt{};             ///< when this start of it was first listed
+    bool hasReturned = false;         ///< it, or one with its address, was listed before: a restart, not an addition
     TimePoint avoidUntil{};           ///< gets no work before, after a failure
-    int failuresInRow = 0;            ///< requests that failed since the last that did not
+    int failuresInRow = 0;            ///< requests and questions that failed since the last request that did not
+    int silencesInRow = 0;            ///< questions that it did not answer since the last that it did
+    int refusalsInRow = 0;            ///< requests that it refused without running them, since the last that it took
+    int peersAvoiding = 0;            ///< other entries that found it failing, as last heard
     bool needsProbe = false;          ///< gets no work before it has answered a question, besides avoidUntil
     bool isReported = false;          ///< it has told ordersAccepted itself
+    bool isBusy = false;              ///< it carries out an order, as it last reported
     std::uint64_t ordersAccepted = 0; ///< orders begun since its start, as it last reported
     int openRequests = 0;             ///< of this process
     double kvTokenLayers = 0;         ///< KV cache that this process's open requests are expected to need, tokens x layers
@@ -69,6 +75,7 @@
 /// All targets.
 struct Fleet {
     std::map<TargetId, Target> targets; ///< by id
+    std::set<Address> knownAddresses;   ///< of all targets listed so far; as many as the instances that ever held one
 };
 
 /// Adds or updates a target. A later start of the same id is a new target: what was seen of the old one is forgotten.
@@ -89,6 +96,18 @@
 /// Longest pause after failures in a row.
 constexpr milliseconds longestAvoidance{3000};
 void noteFailure(Target &target, TimePoint now);
+
+/// First pause after a refusal; doubles with each in a row. An engine refuses while it drains, which the registry tells a
+/// second later or two, or while its slots or its KV cache are full, which ends with the next of its streams.
+constexpr milliseconds firstRefusalPause{200};
+/// Longest pause after refusals in a row: the news that an engine drains is there by then.
+constexpr milliseconds longestRefusalPause{1600};
+/// Pauses work to a target that refused some. It works: other entries need not know, and its layers are not lost.
+void noteRefusal(Target &target, TimePoint now);
+/// Whether requests or questions to it fail: other entries are told.
+bool isFailing(const Target &target, TimePoint now);
 void noteSuccess(Target &target);
+/// It answered a question: it lives, though requests to it may still fail.
+void noteAnswer(Target &target);
 
 } // namespace Parsleytrail
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -68,6 +68,11 @@
     noteFailure(*target, now);
     // A request sent to a dead engine stalls with its whole chain; a question costs next to nothing.
     target->needsProbe = !target->listed.accelerator.empty();
+    if (target->needsProbe && target->failuresInRow == 1) {
+        // One reset may be a lost answer of an engine that works: it is back as soon as it answers a question. Without it
+        // the first engine of a data centre's only chain would be avoided, and the chain with it, after each lost answer.
+        target->avoidUntil = now;
+    }
     context.connections.drop(target->listed.address);
     if (isNew) {
         logEvent(Event::TargetAvoided, {{"target", id.value},
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -104,13 +104,14 @@
 {
     if (target.needsProbe) {
         logEvent(Event::TargetUsable, {{"target", target.listed.id.value}, {"failures", std::to_string(target.failuresInRow)}});
-        noteSuccess(target);
     }
+    noteAnswer(target);
     target.isReported = true;
     const bool isNewer = report.ordersAccepted >= target.ordersAccepted || report.startedAtMs > target.listed.startedAtMs;
     if (isNewer) {
         target.listed.layers = report.layers;
         target.ordersAccepted = report.ordersAccepted;
+        target.isBusy = report.isBusy;
     }
     for (const StalledRequest &stalled : report.stalled) {
         const Target *dead = findTargetAt(context.fleet, stalled.address);
@@ -124,6 +125,9 @@
 void EngineProber::Private::noteDead(const TargetId &id, const std::string &reason)
 {
     avoidTarget(context, id, reason);
+    if (Target *target = findTarget(context.fleet, id)) {
+        ++target->silencesInRow;
+    }
     handlers.onDead(id);
 }
 
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -58,8 +58,8 @@
 
 /// Callbacks of a forwarding to its relay.
 struct ForwardingHooks {
-    /// Asks the first engine of a chain which engine its requests wait for.
-    std::function<void(const TargetId &first)> askForStalls;
+    /// Asks an engine for a report: what it holds, and which engine the requests that it began wait for.
+    std::function<void(const TargetId &engine)> askEngine;
     /// Tells a request's first engine to go on through another chain; calls back whether it does.
     std::function<void(const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done)> moveStream;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -60,7 +60,7 @@
     std::unique_ptr<Timer> tick{};
     std::unique_ptr<Timer> leaveTick{};
     std::unique_ptr<Timer> drainTimer{};
-    std::set<ForwardingPtr> forwardings{};
+    std::vector<ForwardingPtr> forwardings{}; ///< in the order in which they came, so that a run repeats
     std::function<void()> finished{};
     TimePoint drainStartedAt{};
     bool isDraining = false;
@@ -160,20 +160,20 @@
     request.deadline = request.exchange->receivedAt() + std::min(timeout, callerDeadline(context, request.exchange->head()));
     noteRequest(context, request.service->name);
     const ForwardingPtr forwarding = makeForwarding(context, std::move(request), hooks);
-    forwardings.insert(forwarding);
+    forwardings.push_back(forwarding);
     forwarding->begin();
 }
 
 void Relay::Private::checkForwardings()
 {
     const TimePoint now = context.clock.now();
-    const std::vector<ForwardingPtr> open(forwardings.begin(), forwardings.end());
+    const std::vector<ForwardingPtr> open = forwardings;
     for (const ForwardingPtr &forwarding : open) {
         forwarding->checkTime(now);
-        if (forwarding->isOver()) {
-            forwardings.erase(forwarding);
-        }
     }
+    std::erase_if(forwardings, [](const ForwardingPtr &forwarding) {
+        return forwarding->isOver();
+    });
     context.metrics.openRequests = static_cast<double>(forwardings.size());
     askSuspects(open, now);
 }
@@ -221,8 +221,7 @@
 
 void Relay::Private::moveFrom(const TargetId &dead)
 {
-    const std::vector<ForwardingPtr> open(forwardings.begin(), forwardings.end());
-    for (const ForwardingPtr &forwarding : open) {
+    for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(forwardings)) {
         forwarding->noteDeadTarget(dead);
     }
 }
@@ -307,7 +306,7 @@
         data.checkForwardings();
     });
     data.leaveTick = std::make_unique<Timer>(loop, [&data] {
-        for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(data.forwardings.begin(), data.forwardings.end())) {
+        for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(data.forwardings)) {
             forwarding->leaveGoingEngines();
         }
     });
@@ -326,7 +325,7 @@
     data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done) {
         data.moveStream(attemptId, chain, std::move(done));
     };
-    data.hooks.askForStalls = [&data](const TargetId &first) {
+    data.hooks.askEngine = [&data](const TargetId &first) {
         data.prober->ask(first);
     };
 }
@@ -385,7 +384,7 @@
         announcement.isDraining = data.isDraining;
     };
     onPeers.onAvoided = [&data](const TargetId &id) {
-        data.prober->ask(id);
+        data.prober->askSuspect(id);
     };
     onPeers.onHeard = [&data](const RelayAnnouncement &announcement) {
         data.registry->notePeer(announcement);
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -85,7 +85,7 @@
     }
     const TimePoint now = context.clock.now();
     for (const auto &[id, target] : context.fleet.targets) {
-        const bool isAvoided = !target.listed.isDraining && !isUsable(target, now);
+        const bool isAvoided = isFailing(target, now);
         if ((target.openRequests > 0 || isAvoided) && announcement.loads.size() < maxLoads) {
             announcement.loads.push_back({id, static_cast<std::uint32_t>(target.openRequests), static_cast<std::uint64_t>(target.kvTokenLayers), isAvoided});
         }
@@ -111,6 +111,7 @@
             continue;
         }
         target->peersOpenRequests = std::max(0, target->peersOpenRequests + sign * static_cast<int>(load.openRequests));
+        target->peersAvoiding = std::max(0, target->peersAvoiding + sign * (load.isAvoided ? 1 : 0));
         target->peersKvTokenLayers = std::max(0.0, target->peersKvTokenLayers + sign * static_cast<double>(load.kvTokenLayers));
     }
 }
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -21,6 +21,9 @@
 /// A stream with no near way around an engine that is about to go begins anew elsewhere after this time: loads that the
 /// engine is to make wait for it.
 constexpr milliseconds leavePatience{400};
+/// A stream with a dead engine in its chain looks for a way around it this often: loads of lost layers take some hundred
+/// milliseconds, and an order to a first engine is answered within a few.
+constexpr milliseconds moveInterval{150};
 /// An answer that is no stream (a failure) is held up to this size.
 constexpr std::size_t heldAnswerBytes = 64 * 1024;
 /// A stream is not sent again with less time than this left: reading its prompt takes some hundred milliseconds.
@@ -78,7 +81,8 @@
     void readDemand();
     ChainSituation situationNow() const;
     void startAttempt();
-    bool startMove(const ChainTuning &tuning);
+    bool startMove();
+    bool isChainBroken(TimePoint now) const;
     void takeMove(bool isMoved, int move);
     void moveAway(std::string_view reason);
     void goOnWaiting(TimePoint now);
@@ -90,6 +94,7 @@
     void passEvent(const StreamEvent &event);
     void takeEnd() override;
     void takeRefusal(const HttpHead &head);
+    void noteRefusedPart(const TargetId &id, int status);
     void takeFailure(const TargetFailure &failure) override;
     void retryOrEnd(std::string_view reason, bool mayHaveRun);
     void endAttempt() override;
@@ -121,6 +126,7 @@
     bool m_hasEvents = false;     ///< this attempt has brought events
     bool m_isReserved = false;
     bool m_isWaitingForChain = false; ///< the answer has begun and no chain is there to go on
+    TimePoint m_movedAt{};            ///< when another chain was last looked for while the request runs
     int m_moves = 0;                  ///< times the running request was given another chain
     bool m_sawGap = false;            ///< an event was missing: this attempt can't be passed on
 };
@@ -334,7 +340,7 @@
             }
         }
         m_excluded.insert(faulty);
-        avoidTarget(m_context, faulty, head.status == 421 ? "does not hold its layers" : "refused its part");
+        noteRefusedPart(faulty, head.status);
         return retryOrEnd("not executed", false);
     }
     ++m_sent;
@@ -351,6 +357,22 @@
     retryOrEnd(isOwnFailure ? "engine failed" : "answer is not the engine's own", true);
 }
 
+/// An engine refused its part: it drains, holds other layers, or is full.
+void StreamForwarding::noteRefusedPart(const TargetId &id, int status)
+{
+    Target *target = findTarget(m_context.fleet, id);
+    if (!target) {
+        return;
+    }
+    noteRefusal(*target, m_context.clock.now());
+    logEvent(Event::PartRefused, {{"id", m_request.attemptId},
+                                  {"target", id.value},
+                                  {"status", std::to_string(status)},
+                                  {"refusals", std::to_string(target->refusalsInRow)},
+                                  {"open", std::to_string(target->openRequests + target->peersOpenRequests)}});
+    m_hooks.askEngine(id);
+}
+
 void StreamForwarding::takeFailure(const TargetFailure &failure)
 {
     if (failure.mayHaveRun && !m_isStream) {
@@ -363,6 +385,7 @@
     if (!m_chain.empty()) {
         m_excluded.insert(m_chain.front().id);
         avoidTarget(m_context, m_chain.front().id, failure.text);
+        m_hooks.askEngine(m_chain.front().id);
     }
     retryOrEnd(failure.text, failure.mayHaveRun);
 }
@@ -391,21 +414,26 @@
     end();
 }
 
-/// Lets the first engine go on through other engines: what the kept ones have read stays, and the caller sees a short pause.
-/// Returns false if there is no such chain.
-bool StreamForwarding::startMove(const ChainTuning &tuning)
+/// Lets the first engine go on through other engines of its data centre: what the kept ones have read stays, and the caller
+/// sees a short pause. Returns false if there is no such chain.
+///
+/// Not through other data centres: all tokens so far would cross, some 15 MB a stream; the streams of one lost engine fill
+/// the pipe that all share for ten seconds and more. Reading the prompt anew elsewhere takes a tenth of a second.
+bool StreamForwarding::startMove()
 {
+    ChainTuning near;
+    near.crossHopMs = std::numeric_limits<double>::infinity();
     ChainSituation situation = situationNow();
     situation.current = m_chain;
     reserve(-1);
-    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random, tuning);
+    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random, near);
     if (chain.empty()) {
         reserve(+1);
         return false;
     }
     m_chain = std::move(chain);
     reserve(+1);
-    m_progressAt = situation.now;
+    m_movedAt = situation.now;
     const int move = ++m_moves;
     m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move](bool isMoved) {
         if (const auto self = weak.lock()) {
@@ -415,6 +443,19 @@
     return true;
 }
 
+/// Whether an engine of the chain, other than the first, is gone or does not answer.
+///
+/// A stream whose engine died and that may not begin anew (its attempts or the retry budget are spent) stays at its first
+/// engine. Within a second its layers are often held by others again; until it is moved there its caller sees nothing, and
+/// leaves after some two seconds.
+bool StreamForwarding::isChainBroken(TimePoint now) const
+{
+    return m_chain.size() > 1 && std::any_of(m_chain.begin() + 1, m_chain.end(), [&](const ChainPart &part) {
+               const Target *target = findTarget(m_context.fleet, part.id);
+               return !target || isFailing(*target, now);
+           });
+}
+
 /// A draining engine goes on for seconds, and one that gives up layers waits for the streams in them before it loads
 /// others: leaving early costs reading the tokens once more, leaving late a stall.
 void StreamForwarding::leaveGoingEngines()
@@ -429,10 +470,7 @@
     if (!isLeft) {
         return;
     }
-    // Not for engines elsewhere: all tokens so far would cross between data centres.
-    ChainTuning near;
-    near.crossHopMs = std::numeric_limits<double>::infinity();
-    if (startMove(near)) {
+    if (startMove()) {
         return;
     }
     const TimePoint now = m_context.clock.now();
@@ -469,7 +507,7 @@
     }
     m_excluded.insert(id);
     const bool isFirst = m_chain.front().id == id;
-    if (isFirst || !startMove({})) {
+    if (isFirst || !startMove()) {
         moveAway("engine of the chain is dead");
     }
 }
@@ -514,12 +552,19 @@
     if (m_isWaitingForChain) {
         return goOnWaiting(now);
     }
+    const bool isMoveDue = now - m_progressAt >= stallThreshold(m_context) && now - m_movedAt >= moveInterval;
+    if (isMoveDue && isChainBroken(now)) {
+        m_movedAt = now;
+        if (startMove()) {
+            return;
+        }
+    }
     const milliseconds stall = m_hasEvents ? eventStall : firstEventStall;
     if (m_chain.empty() || now - m_progressAt < stall || now - m_askedAt < stallQuestionInterval) {
         return;
     }
     m_askedAt = now;
-    m_hooks.askForStalls(m_chain.front().id);
+    m_hooks.askEngine(m_chain.front().id);
     if (now - m_progressAt > stall * stallsUntilMove && m_sent < m_request.route->maxAttempts) {
         for (const ChainPart &part : m_chain) {
             m_excluded.insert(part.id);
