Placement: copies by room for streams, ranges that grow instead of giving layers up, one move instead of a shift of all

Cause, from the orders in the logs: a gap was handed on from neighbour to neighbour, each gave up layers that nobody else held and waited up to three seconds for the streams in them; engines whose layers two held were ordered into gaps and were gone for as long; returned engines stood empty for three seconds and then took the first layers, whichever were short; a new holder of the lease contradicted the orders of the one before; lost answers made working engines count as lost.

Change: as many whole copies as leave KV cache for the streams of one first engine; gaps are taken by empty engines, then by neighbours that add to what they hold, then by one engine that moves, and only then by a new cut; what adds goes before what gives up while draining engines still serve; where the chain is broken anyway orders do not wait for its streams; empty engines go where there is room for the fewest streams; engines that return at their address are employed at once; a new holder asks all engines first and leaves busy ones alone; only unanswered questions, here twice or here and at a peer, make an engine lost.

The fixture of the relay tests now holds KV cache for one copy only: with two, the loss of one engine leaves no gap, and aStoppedHolderOfTheLeaseIsReplaced waited for orders that nobody needs; the test itself is unchanged.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -12,6 +12,9 @@
 
 using EngineGroup = std::vector<PlacedEngine>;
 
+/// Cost of what can't be done.
+constexpr double unreachableCost = 1e18;
+
 static double memoryOf(const EngineModel &model, const PlacedEngine &engine)
 {
     const AcceleratorKind *kind = findKind(model, engine.kind);
@@ -32,6 +35,14 @@
     return total;
 }
 
+static PlacedEngine *findEngine(EngineGroup &group, const TargetId &id)
+{
+    const auto it = std::find_if(group.begin(), group.end(), [&](const PlacedEngine &engine) {
+        return engine.id == id;
+    });
+    return it == group.end() ? nullptr : &*it;
+}
+
 /// Groups by data centre; the key of the group of those too small for a whole model is empty.
 static std::map<std::string, EngineGroup> makeGroups(const EngineModel &model, const std::vector<PlacedEngine> &engines, const PlacementTuning &tuning)
 {
@@ -48,6 +59,12 @@
     return groups;
 }
 
+/// KV cache of a usual stream in one layer.
+static double kvStreamLayerMb(const EngineModel &model)
+{
+    return (model.usualPromptTokens + model.usualAnswerTokens) * model.kvTokenBytes / model.layers / 1e6;
+}
+
 static std::vector<int> copiesOfLayers(const EngineModel &model, const EngineGroup &group)
 {
     std::vector<int> copies(model.layers, 0);
@@ -62,6 +79,16 @@
     return copies;
 }
 
+/// Whether the engines that answer, draining ones too, hold all layers.
+static bool servesAllLayers(const EngineModel &model, EngineGroup group)
+{
+    for (PlacedEngine &engine : group) {
+        engine.isLeaving = engine.isDead;
+    }
+    const std::vector<int> copies = copiesOfLayers(model, group);
+    return std::find(copies.begin(), copies.end(), 0) == copies.end();
+}
+
 static std::vector<LayerRange> gapsOf(const std::vector<int> &copies)
 {
     std::vector<LayerRange> gaps;
@@ -114,6 +141,21 @@
     return dealt;
 }
 
+/// How many whole copies a group should hold.
+///
+/// With two, an engine that dies leaves no gap, and each copy's first engine takes requests. With one more than leaves KV
+/// cache for the streams that one first engine takes, the cache binds, and prompts are read again and again.
+static int copiesToHold(const EngineModel &model, const EngineGroup &group, const PlacementTuning &tuning)
+{
+    const double memory = groupMemory(model, group);
+    const double copyMb = model.layers * model.layerMb;
+    const double streamMb = kvStreamLayerMb(model) * model.layers;
+    if (streamMb <= 0 || model.batchSlots <= 0) {
+        return std::max(1, static_cast<int>(memory * tuning.layerShare / copyMb));
+    }
+    return std::max(1, static_cast<int>((memory - streamMb * model.batchSlots) / copyMb));
+}
+
 static void planFirst(const EngineModel &model, const EngineGroup &group, const PlacementTuning &tuning, std::vector<PlacementOrder> &orders)
 {
     EngineGroup staying;
@@ -123,9 +165,16 @@
         }
     }
     const double copyMb = model.layers * model.layerMb;
-    const int chains = std::max(1, static_cast<int>(groupMemory(model, staying) * tuning.layerShare / copyMb));
-    for (const EngineGroup &chain : dealChains(model, staying, chains)) {
-        if (groupMemory(model, chain) >= copyMb) {
+    std::vector<EngineGroup> chains = dealChains(model, staying, copiesToHold(model, staying, tuning));
+    const auto isTooSmall = [&](const EngineGroup &chain) {
+        return groupMemory(model, chain) < copyMb;
+    };
+    // Few large engines can't always be dealt evenly: one whole copy less is better than a part of one.
+    while (chains.size() > 1 && std::any_of(chains.begin(), chains.end(), isTooSmall)) {
+        chains = dealChains(model, staying, static_cast<int>(chains.size()) - 1);
+    }
+    for (const EngineGroup &chain : chains) {
+        if (!isTooSmall(chain)) {
             cutChain(model, chain, orders);
         }
     }
@@ -145,27 +194,16 @@
     orders.push_back({engine.id, layers, reason});
 }
 
-/// Whether an engine holds nothing that only it holds.
-static bool isFree(const PlacedEngine &engine, const std::vector<int> &copies)
-{
-    for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
-        if (copies[layer] < 2) {
-            return false;
-        }
-    }
-    return !engine.isLeaving && !engine.isFixed;
-}
-
-/// Gives the start of a gap to an engine that is empty or whose layers others hold too; returns the layers taken. One
-/// that takes the whole gap goes first, the smallest of these; else the largest.
-static int fillWithFreeEngine(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
-                              std::vector<PlacementOrder> &orders)
+/// Gives the start of a gap to an empty engine; returns the layers taken. One that takes the whole gap goes first, the
+/// smallest of these; else the largest.
+static int fillWithEmptyEngine(const EngineModel &model, EngineGroup &group, LayerRange gap, const PlacementTuning &tuning, std::vector<int> &copies,
+                               std::vector<PlacementOrder> &orders)
 {
     PlacedEngine *best = nullptr;
     int bestRank = 0;
     for (PlacedEngine &engine : group) {
         const int room = layersThatFit(model, engine, tuning.emergencyShare);
-        if (room == 0 || !isFree(engine, copies)) {
+        if (room == 0 || engine.layers.count() > 0 || engine.isLeaving || engine.isFixed) {
             continue;
         }
         const int rank = room >= gap.count() ? model.layers * 2 - room : room;
@@ -178,40 +216,69 @@
         return 0;
     }
     const int count = std::min(gap.count(), layersThatFit(model, *best, tuning.emergencyShare));
-    assign(*best, {gap.from, gap.from + count}, "gap filled by a free engine", copies, orders);
+    assign(*best, {gap.from, gap.from + count}, "gap filled by an empty engine", copies, orders);
     return count;
 }
 
-/// Cost of an engine's holding a range: layers to be loaded, and the KV cache that is lost.
-static double rangeCost(const EngineModel &model, const PlacedEngine &engine, LayerRange layers, const PlacementTuning &tuning)
+/// What an engine is ordered to hold so that it serves `part`: what it holds as well, if both fit and touch.
+///
+/// Layers that are given up take no new streams, and new ones are loaded only when the streams in the old ones have ended,
+/// which takes seconds. An engine that adds layers to its own loads at once and goes on serving.
+static LayerRange rangeToHold(const EngineModel &model, const PlacedEngine &engine, LayerRange part, const PlacementTuning &tuning)
+{
+    const LayerRange both{std::min(part.from, engine.layers.from), std::max(part.to, engine.layers.to)};
+    const bool touches = engine.layers.count() > 0 && both.count() <= part.count() + engine.layers.count();
+    return touches && both.count() <= layersThatFit(model, engine, tuning.emergencyShare) ? both : part;
+}
+
+/// Cost of an engine's giving up all of its layers but those in `kept`.
+static double giveUpCost(const PlacedEngine &engine, LayerRange kept, const std::vector<int> &copies, const PlacementTuning &tuning)
 {
-    const int kept = std::max(0, std::min(layers.to, engine.layers.to) - std::max(layers.from, engine.layers.from));
-    const double fill = layers.count() * model.layerMb / memoryOf(model, engine) / tuning.layerShare;
-    const int givenUp = engine.layers.count() - kept;
-    return (layers.count() - kept) + tuning.fillCost * std::pow(fill, 4) + tuning.giveUpCost * givenUp;
+    double cost = 0;
+    for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
+        const bool isKept = kept.from <= layer && layer < kept.to;
+        cost += isKept ? 0 : copies[layer] > 1 ? tuning.giveUpSharedCost : tuning.giveUpCost;
+    }
+    return cost;
 }
 
-/// The cheapest way to cover all layers by the engines in the order of their ranges: each takes the layers where the one
-/// before it ends, or is left out. Empty if they can't.
-static std::vector<LayerRange> cutAnew(const EngineModel &model, const EngineGroup &chain, const PlacementTuning &tuning)
+/// Cost of an engine's serving a part: layers to be loaded and given up, and the KV cache that is lost.
+static double partCost(const EngineModel &model, const PlacedEngine &engine, LayerRange part, const std::vector<int> &copies, const PlacementTuning &tuning)
+{
+    if (part.count() == 0 || engine.layers.contains(part)) {
+        return 0;
+    }
+    const LayerRange held = rangeToHold(model, engine, part, tuning);
+    const int kept = std::max(0, std::min(held.to, engine.layers.to) - std::max(held.from, engine.layers.from));
+    const double fill = held.count() * model.layerMb / memoryOf(model, engine) / tuning.layerShare;
+    return (held.count() - kept) + tuning.fillCost * std::pow(fill, 4) + giveUpCost(engine, held, copies, tuning);
+}
+
+/// A way to cover all layers.
+struct Cut {
+    EngineGroup chain;             ///< engines in the order of their parts
+    std::vector<LayerRange> parts; ///< of each engine of the chain; empty: left as it is
+    double cost = unreachableCost; ///< see partCost()
+};
+
+/// The cheapest way to cover all layers by the engines in the given order: each takes the layers where the one before it
+/// ends, or is left out. The cost is unreachableCost if they can't.
+static Cut cutInOrder(const EngineModel &model, EngineGroup chain, const std::vector<int> &copies, const PlacementTuning &tuning)
 {
-    constexpr double unreachable = 1e18;
     const std::size_t width = model.layers + 1;
-    std::vector<double> cost((chain.size() + 1) * width, unreachable);
+    std::vector<double> cost((chain.size() + 1) * width, unreachableCost);
     std::vector<int> cameFrom((chain.size() + 1) * width, 0);
     cost[0] = 0;
     for (std::size_t i = 0; i < chain.size(); ++i) {
         const int most = chain[i].isFixed ? model.layers : layersThatFit(model, chain[i], tuning.emergencyShare);
         for (int from = 0; from <= model.layers; ++from) {
             const double base = cost[i * width + from];
-            for (int to = from; base < unreachable && to <= std::min(model.layers, from + most); ++to) {
-                // An engine that can't be ordered now serves from where the one before it ends to its own end, or not at all.
-                const bool isOwnRest = from >= chain[i].layers.from && to == chain[i].layers.to;
-                if (chain[i].isFixed && to > from && !isOwnRest) {
+            for (int to = from; base < unreachableCost && to <= std::min(model.layers, from + most); ++to) {
+                // An engine that can't be ordered now serves what it holds, or nothing.
+                if (chain[i].isFixed && to > from && !chain[i].layers.contains({from, to})) {
                     continue;
                 }
-                const bool isFree = to == from || chain[i].isFixed;
-                const double total = base + (isFree ? 0 : rangeCost(model, chain[i], {from, to}, tuning));
+                const double total = base + partCost(model, chain[i], {from, to}, copies, tuning);
                 if (total < cost[(i + 1) * width + to]) {
                     cost[(i + 1) * width + to] = total;
                     cameFrom[(i + 1) * width + to] = from;
@@ -219,21 +286,83 @@
             }
         }
     }
-    std::vector<LayerRange> ranges(chain.size());
-    if (cost[chain.size() * width + model.layers] >= unreachable) {
-        return {};
-    }
+    Cut cut;
+    cut.cost = cost[chain.size() * width + model.layers];
+    cut.parts.resize(chain.size());
     int to = model.layers;
-    for (std::size_t i = chain.size(); i > 0; --i) {
+    for (std::size_t i = chain.size(); i > 0 && cut.cost < unreachableCost; --i) {
         const int from = cameFrom[i * width + to];
-        ranges[i - 1] = {from, to};
+        cut.parts[i - 1] = {from, to};
         to = from;
     }
-    return ranges;
+    cut.chain = std::move(chain);
+    return cut;
+}
+
+/// The cheapest cut with one engine moved to the start of a gap.
+///
+/// A lost engine with many layers leaves more than its neighbours can add to their own. Handed on from neighbour to
+/// neighbour, the gap makes every engine of the group give up its layers; one engine that moves into it leaves a gap of its
+/// own that its neighbours can take.
+static Cut cutWithMove(const EngineModel &model, const EngineGroup &chain, const std::vector<int> &copies, const PlacementTuning &tuning)
+{
+    Cut best;
+    for (const LayerRange &gap : gapsOf(copies)) {
+        for (std::size_t moved = 0; moved < chain.size(); ++moved) {
+            if (chain[moved].isFixed || chain[moved].layers.count() == 0) {
+                continue;
+            }
+            EngineGroup others = chain;
+            PlacedEngine engine = chain[moved];
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(moved));
+            engine.layers = {gap.from, gap.from};
+            const auto behind = std::find_if(others.begin(), others.end(), [&](const PlacedEngine &other) {
+                return other.layers.from > gap.from;
+            });
+            others.insert(behind, engine);
+            Cut cut = cutInOrder(model, std::move(others), copies, tuning);
+            cut.cost += giveUpCost(chain[moved], {}, copies, tuning);
+            if (cut.cost < best.cost) {
+                best = std::move(cut);
+            }
+        }
+    }
+    return best;
 }
 
-/// Cuts the ranges of a group with gaps anew. All engines change at once, also those that give up layers which nobody else
-/// holds yet: the group has no whole chain anyway, and one load later it has.
+/// Orders what a cut changes.
+///
+/// While engines that are about to leave still serve their layers, the chain works: those that add layers go first, and
+/// layers that nobody else holds are given up only when nothing else is left to do.
+static void orderCut(const EngineModel &model, EngineGroup &group, const Cut &cut, const PlacementTuning &tuning, std::vector<int> &copies,
+                     std::vector<PlacementOrder> &orders)
+{
+    if (cut.cost >= unreachableCost) {
+        return;
+    }
+    std::vector<PlacementOrder> adding;
+    std::vector<PlacementOrder> givingUp;
+    for (std::size_t i = 0; i < cut.chain.size(); ++i) {
+        const PlacedEngine &engine = *findEngine(group, cut.chain[i].id);
+        if (cut.parts[i].count() == 0 || engine.layers.contains(cut.parts[i])) {
+            continue;
+        }
+        const LayerRange held = rangeToHold(model, cut.chain[i], cut.parts[i], tuning);
+        const bool givesUp = giveUpCost(engine, held, copies, tuning) >= tuning.giveUpCost;
+        (givesUp ? givingUp : adding).push_back({engine.id, held, "gap shared out"});
+    }
+    const bool isServing = servesAllLayers(model, group);
+    if (!isServing || adding.empty()) {
+        adding.insert(adding.end(), givingUp.begin(), givingUp.end());
+    }
+    for (PlacementOrder &order : adding) {
+        assign(*findEngine(group, order.id), order.layers, "gap shared out", copies, orders);
+        // Streams in a group whose chain is broken get no events; waiting for them would keep it broken for seconds.
+        orders.back().dropsStreams = !isServing;
+    }
+}
+
+/// Cuts the ranges of a group with gaps anew.
 static void recut(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<int> &copies, std::vector<PlacementOrder> &orders)
 {
     EngineGroup chain;
@@ -245,18 +374,32 @@
     std::stable_sort(chain.begin(), chain.end(), [](const PlacedEngine &a, const PlacedEngine &b) {
         return a.layers.from != b.layers.from ? a.layers.from < b.layers.from : a.id < b.id;
     });
-    const std::vector<LayerRange> ranges = cutAnew(model, chain, tuning);
-    for (std::size_t i = 0; i < ranges.size(); ++i) {
-        PlacedEngine &engine = *std::find_if(group.begin(), group.end(), [&](const PlacedEngine &other) {
-            return other.id == chain[i].id;
-        });
-        if (!engine.isFixed && ranges[i].count() > 0 && ranges[i] != engine.layers) {
-            assign(engine, ranges[i], "gap shared out", copies, orders);
+    Cut cut = cutInOrder(model, chain, copies, tuning);
+    Cut moved = cutWithMove(model, chain, copies, tuning);
+    orderCut(model, group, moved.cost < cut.cost ? moved : cut, tuning, copies, orders);
+}
+
+/// Streams that each layer has room for: what its holders' KV cache takes, with engines that hold much counting little.
+static std::vector<double> streamsOfLayers(const EngineModel &model, const EngineGroup &group)
+{
+    std::vector<double> streams(model.layers, 0);
+    const double streamLayerMb = kvStreamLayerMb(model);
+    for (const PlacedEngine &engine : group) {
+        if (engine.isLeaving || engine.layers.count() == 0) {
+            continue;
+        }
+        const double freeMb = std::max(0.0, memoryOf(model, engine) - engine.layers.count() * model.layerMb);
+        const double room = freeMb / (engine.layers.count() * streamLayerMb);
+        for (int layer = std::max(engine.layers.from, 0); layer < std::min(engine.layers.to, model.layers); ++layer) {
+            // Chains begin at layer 0, and an engine takes a limited number of requests that begin there.
+            streams[layer] += layer == 0 && model.batchSlots > 0 ? std::min<double>(room, model.batchSlots) : room;
         }
     }
+    return streams;
 }
 
-/// Gives each engine that is still empty the part of the model with the fewest copies.
+/// Gives each engine that is still empty the part of the model with room for the fewest streams: that of an engine which
+/// took over the layers of a lost neighbour holds the whole chain back.
 static void employEmptyEngines(const EngineModel &model, EngineGroup &group, const PlacementTuning &tuning, std::vector<int> &copies,
                                std::vector<PlacementOrder> &orders)
 {
@@ -265,15 +408,16 @@
         if (engine.isLeaving || engine.isNew || engine.isFixed || engine.layers.count() > 0 || count == 0) {
             continue;
         }
+        const std::vector<double> streams = streamsOfLayers(model, group);
         int bestFrom = 0;
-        int bestCopies = -1;
+        double bestNeed = -1;
         for (int from = 0; from + count <= model.layers; ++from) {
-            int sum = 0;
+            double need = 0;
             for (int layer = from; layer < from + count; ++layer) {
-                sum += copies[layer];
+                need += std::pow(1 / (1 + streams[layer]), 4);
             }
-            if (bestCopies < 0 || sum < bestCopies) {
-                bestCopies = sum;
+            if (need > bestNeed) {
+                bestNeed = need;
                 bestFrom = from;
             }
         }
@@ -285,7 +429,7 @@
 {
     std::vector<int> copies = copiesOfLayers(model, group);
     std::vector<LayerRange> gaps = gapsOf(copies);
-    while (!gaps.empty() && fillWithFreeEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
+    while (!gaps.empty() && fillWithEmptyEngine(model, group, gaps.front(), tuning, copies, orders) > 0) {
         gaps = gapsOf(copies);
     }
     const bool isChanging = std::any_of(group.begin(), group.end(), [](const PlacedEngine &engine) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -24,32 +24,36 @@
     LayerRange layers;      ///< ordered, or held if nothing is on its way; empty: none
     bool isFixed = false;   ///< an order is being carried out: takes no other before it is done
     bool isNew = false;     ///< came a moment ago: kept free for the layers of the engine that it may replace
-    bool isLeaving = false; ///< draining: what it holds is about to be lost
+    bool isLeaving = false; ///< draining or dead: what it holds is about to be lost
+    bool isDead = false;    ///< does not answer: what it holds serves nobody
 };
 
 /// An engine that should hold another range.
 struct PlacementOrder {
-    TargetId id;        ///< engine
-    LayerRange layers;  ///< range that it shall hold
-    std::string reason; ///< for logs
+    TargetId id;               ///< engine
+    LayerRange layers;         ///< range that it shall hold
+    std::string reason;        ///< for logs
+    bool dropsStreams = false; ///< need not wait for streams in layers that are given up
 
     bool operator==(const PlacementOrder &) const = default;
 };
 
 /// Weights of the planner.
 struct PlacementTuning {
-    /// Share of a group's memory that layers may take before a further whole copy is given up. What is left holds KV
-    /// cache: at the loads given, streams at once need a third of a copy's memory in each group.
+    /// Share of memory that layers take in calm times: of an engine that is employed or, where the usual streams are not
+    /// known, of a group. What is left holds KV cache: at the loads given, streams at once need a third of a copy's memory.
     double layerShare = 0.62;
     /// Share of one engine's memory that layers may take when the range of a lost engine is shared out. What is left holds
     /// the KV cache of some tens of streams.
-    double emergencyShare = 0.85;
+    double emergencyShare = 0.88;
     /// Cost of a full engine against that of loading one layer, when ranges are cut anew: an engine at twice the usual
     /// fill takes half as many streams, and with it the whole chain.
     double fillCost = 3;
-    /// Cost of giving up a layer, against that of loading one: nobody else holds it, so that chains that work break, and the
-    /// engine takes new layers only when the streams that pass through it have ended.
-    double giveUpCost = 0.5;
+    /// Cost of giving up a layer that nobody else holds, against that of loading one: chains that work break, and the engine
+    /// takes new layers only when the streams that pass through it have ended, which takes as long as some twenty loads.
+    double giveUpCost = 5;
+    /// The same for a layer that another engine holds: nothing breaks, but new layers still wait for the streams in it.
+    double giveUpSharedCost = 1;
 };
 
 /// Orders that bring the engines to the plan; empty if nothing needs to change.
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -55,6 +55,7 @@
 struct PlaceOrder {
     LayerRange layers;                ///< range to hold
     std::uint64_t expectedOrders = 0; ///< refused by the engine if it has accepted another number of orders
+    bool dropsStreams = false;        ///< streams in layers that are given up are cut, so that the load begins at once
 };
 
 /// Codecs and names of one platform.
--- a/src/relay/placement_duty.cpp
+++ b/src/relay/placement_duty.cpp
@@ -21,9 +21,12 @@
 /// When engines are replaced, the new one comes first and the old one leaves a moment later: the new one is kept free for
 /// its layers this long, as loading other layers first would take as long again.
 constexpr milliseconds newcomerTime{3000};
-/// Failures in a row after which an engine's layers count as lost: one may be a connection, three in a row are seconds.
-constexpr int failuresUntilLost = 2;
+/// Unanswered questions in a row after which an engine's layers count as lost: one may be a connection.
+constexpr int silencesUntilLost = 2;
 
+/// A new holder of the duty asks all engines first and plans after this time. Orders of the holder before may be under way:
+/// a plan without them sends others that contradict them.
+constexpr milliseconds takeoverPause{250};
 /// After an order that was not taken: the engine's report is on its way, and lags by some hundred milliseconds.
 constexpr milliseconds refusalPause{600};
 
@@ -46,6 +49,8 @@
     std::map<TargetId, TimePoint> refusedAt{};         ///< engines whose last order was not taken
     std::map<ServiceName, std::size_t> engineCounts{}; ///< when last looked at
     std::map<ServiceName, TimePoint> grownAt{};        ///< when the count last changed
+    TimePoint heldSince{};                             ///< when this entry took the duty; zero: it does not hold it
+    TimePoint busyPolledAt{};                          ///< when engines under others' orders were last asked
 
     void plan();
     void planService(const ServiceSpec &service, TimePoint now);
@@ -53,6 +58,8 @@
     std::vector<PlacedEngine> enginesOf(const ServiceSpec &service, TimePoint now);
     bool seesMostEngines(const ServiceSpec &service) const;
     void followOrders(TimePoint now);
+    void askAll();
+    void askBusy();
     void send(const PlacementOrder &order, TimePoint now);
     void takeAnswer(const TargetId &id, const HttpResult &result);
 };
@@ -86,6 +93,7 @@
     const TimePoint now = context.clock.now();
     if (!isHeld()) {
         pending.clear();
+        heldSince = TimePoint();
         // Whether the list is whole is followed all the time, so that a new holder need not wait.
         for (const auto &[name, service] : context.routes->services) {
             if (service.engine) {
@@ -94,6 +102,10 @@
         }
         return;
     }
+    if (heldSince == TimePoint()) {
+        heldSince = now;
+        askAll();
+    }
     followOrders(now);
     for (const auto &[name, service] : context.routes->services) {
         if (service.engine) {
@@ -115,6 +127,36 @@
             prober.ask(id);
         }
     }
+    if (now - busyPolledAt >= orderPoll) {
+        busyPolledAt = now;
+        askBusy();
+    }
+}
+
+/// Asks all engines of models what they hold and whether they carry out an order.
+void PlacementDuty::Private::askAll()
+{
+    for (auto &[id, target] : context.fleet.targets) {
+        prober.ask(id);
+    }
+}
+
+/// Asks engines that carry out orders of somebody else whether they are done.
+void PlacementDuty::Private::askBusy()
+{
+    for (const auto &[id, target] : context.fleet.targets) {
+        if (target.isBusy && !pending.contains(id)) {
+            prober.ask(id);
+        }
+    }
+}
+
+/// Whether an engine does not answer questions: of this entry twice, or of this entry while another finds it failing too.
+/// Waiting for the second silence here alone takes half a second, in which all streams through the engine stand still.
+/// Requests that fail say nothing: answers are lost at engines that work, and giving their layers to others breaks chains.
+static bool isLost(const Target &target)
+{
+    return target.silencesInRow >= silencesUntilLost || (target.silencesInRow > 0 && target.peersAvoiding > 0);
 }
 
 /// Whether few enough engines fail that the fault is theirs. An entry that is cut off sees all of them fail; its orders
@@ -126,7 +168,7 @@
     for (const auto &[id, target] : context.fleet.targets) {
         if (target.listed.service == service.name) {
             ++engines;
-            failed += target.failuresInRow >= failuresUntilLost ? 1 : 0;
+            failed += isLost(target) ? 1 : 0;
         }
     }
     constexpr int mostFailedPart = 4; // a quarter: more than a rack, less than a data centre of three
@@ -146,8 +188,10 @@
         engine.dataCenter = target.listed.dataCenter;
         engine.kind = target.listed.accelerator;
         engine.layers = target.listed.layers;
-        engine.isNew = now - target.listedAt < newcomerTime;
-        engine.isLeaving = target.listed.isDraining || (trustsFailures && target.failuresInRow >= failuresUntilLost);
+        engine.isNew = !target.hasReturned && now - target.listedAt < newcomerTime;
+        engine.isDead = trustsFailures && isLost(target);
+        engine.isLeaving = target.listed.isDraining || engine.isDead;
+        engine.isFixed = target.isBusy; // by an order of another holder of the duty, or one whose answer was lost
         const auto order = pending.find(id);
         if (order != pending.end()) {
             engine.layers = order->second.layers;
@@ -184,7 +228,8 @@
 void PlacementDuty::Private::planService(const ServiceSpec &service, TimePoint now)
 {
     const std::vector<PlacedEngine> engines = enginesOf(service, now);
-    if (engines.empty() || !isSettled(service, engines, now)) {
+    const bool isTakingOver = isStarted(engines) && now - heldSince < takeoverPause;
+    if (engines.empty() || !isSettled(service, engines, now) || isTakingOver) {
         return;
     }
     for (const PlacementOrder &order : planPlacement(*service.engine, engines)) {
@@ -213,7 +258,7 @@
                                 {"held", std::to_string(target.listed.layers.from) + "-" + std::to_string(target.listed.layers.to)},
                                 {"orders", std::to_string(target.ordersAccepted)},
                                 {"reason", order.reason}});
-    HttpClientRequest request = context.dialect.placeRequest({order.layers, target.ordersAccepted});
+    HttpClientRequest request = context.dialect.placeRequest({order.layers, target.ordersAccepted, order.dropsStreams});
     request.timeout = orderTimeout;
     client.fetch(target.listed.address, std::move(request), [this, id = order.id](const HttpResult &result) {
         takeAnswer(id, result);
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -198,6 +198,63 @@
     BOOST_TEST(isUsable(target, start));
 }
 
+BOOST_AUTO_TEST_CASE(aRefusalIsNoFailure)
+{
+    // An engine refuses parts while its memory is full. Taken for failures, the refusals were told to the other entries,
+    // and two of them made its layers count as lost; it works, and is asked again after a pause that grows.
+    Target target;
+    noteRefusal(target, start);
+    BOOST_TEST(!isUsable(target, start));
+    BOOST_TEST(!isFailing(target, start));
+    BOOST_TEST(isUsable(target, start + firstRefusalPause));
+    noteRefusal(target, start);
+    BOOST_TEST(!isUsable(target, start + firstRefusalPause));
+    BOOST_TEST(isUsable(target, start + 2 * firstRefusalPause));
+    for (int i = 0; i < 20; ++i) {
+        noteRefusal(target, start);
+    }
+    BOOST_TEST(isUsable(target, start + longestRefusalPause));
+    noteSuccess(target);
+    noteRefusal(target, start + longestRefusalPause);
+    BOOST_TEST(isUsable(target, start + longestRefusalPause + firstRefusalPause));
+}
+
+BOOST_AUTO_TEST_CASE(anAnswerToAQuestionEndsSilenceButNotFailures)
+{
+    // Requests to an engine fail while it answers questions: other engines must not take over its layers, and it is still
+    // avoided for longer with each failure.
+    Target target;
+    noteFailure(target, start);
+    noteFailure(target, start);
+    target.silencesInRow = 1;
+    target.needsProbe = true;
+    noteAnswer(target);
+    BOOST_TEST(target.silencesInRow == 0);
+    BOOST_TEST(target.failuresInRow == 2);
+    BOOST_TEST(isFailing(target, start));
+    BOOST_TEST(isUsable(target, start + 2 * firstAvoidance));
+}
+
+BOOST_AUTO_TEST_CASE(anEngineAtAKnownAddressHasReturned)
+{
+    // A crashed engine comes back with another id at its address. It replaces nobody and is employed at once; one at an
+    // address never seen may be the successor of an engine that leaves a moment later.
+    Fleet fleet;
+    ListedTarget listed;
+    listed.id = {"old"};
+    listed.address = {"10.0.0.1", 80};
+    noteListed(fleet, listed, start);
+    BOOST_TEST(!findTarget(fleet, {"old"})->hasReturned);
+    noteRemoved(fleet, {"old"});
+    listed.id = {"new"};
+    noteListed(fleet, listed, start);
+    BOOST_TEST(findTarget(fleet, {"new"})->hasReturned);
+    listed.id = {"added"};
+    listed.address = {"10.0.0.2", 80};
+    noteListed(fleet, listed, start);
+    BOOST_TEST(!findTarget(fleet, {"added"})->hasReturned);
+}
+
 BOOST_AUTO_TEST_CASE(eachDataCenterGetsAWholeModel)
 {
     const EngineModel model = largeModel();
@@ -310,6 +367,125 @@
     BOOST_TEST(missingLayers(model, engines, "a").empty());
 }
 
+/// The large model with what its engines tell of usual requests, so that room for streams can be told.
+EngineModel servedModel()
+{
+    EngineModel model = largeModel();
+    model.kvTokenBytes = 328000;
+    model.usualPromptTokens = 770;
+    model.usualAnswerTokens = 153;
+    model.batchSlots = 192;
+    return model;
+}
+
+PlacedEngine &engineHolding(std::vector<PlacedEngine> &engines, LayerRange layers)
+{
+    const auto it = std::find_if(engines.begin(), engines.end(), [&](const PlacedEngine &engine) {
+        return engine.layers.contains(layers);
+    });
+    BOOST_REQUIRE(it != engines.end());
+    return *it;
+}
+
+BOOST_AUTO_TEST_CASE(asManyCopiesAreHeldAsLeaveRoomForTheStreamsOfAFirstEngine)
+{
+    // 424 GB leave 144 GB beside two copies: room for some 470 streams, more than the 192 of a first engine. With KV cache
+    // of twice the size per token and a quarter less memory, two copies would leave room for 67.
+    EngineModel model = servedModel();
+    std::vector<PlacedEngine> large = makeEngines("a", {{"huge", 1}, {"large", 1}, {"middle", 8}, {"small", 10}});
+    carryOut(large, planPlacement(model, large));
+    std::vector<int> copies(model.layers, 0);
+    for (const PlacedEngine &engine : large) {
+        for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
+            ++copies[layer];
+        }
+    }
+    BOOST_TEST(*std::min_element(copies.begin(), copies.end()) == 2);
+    checkMemory(model, large);
+
+    model.kvTokenBytes = 590000;
+    std::vector<PlacedEngine> tight = makeEngines("a", {{"huge", 1}, {"large", 1}, {"middle", 5}, {"small", 7}});
+    carryOut(tight, planPlacement(model, tight));
+    int layers = 0;
+    for (const PlacedEngine &engine : tight) {
+        layers += engine.layers.count();
+    }
+    BOOST_TEST(layers == model.layers);
+}
+
+BOOST_AUTO_TEST_CASE(neighboursOfALeavingEngineAddItsLayersAndGiveUpNone)
+{
+    // An engine drains and still serves. Handed on from neighbour to neighbour, its layers made others give up layers that
+    // nobody else held: the chain that worked broke, a second before it had to.
+    const EngineModel model = servedModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 1}, {"middle", 8}, {"small", 4}});
+    settle(model, engines);
+    for (std::size_t leaving = 1; leaving + 1 < engines.size(); ++leaving) {
+        std::vector<PlacedEngine> rest = engines;
+        rest[leaving].isLeaving = true;
+        const std::vector<PlacementOrder> orders = planPlacement(model, rest);
+        BOOST_TEST(!orders.empty());
+        for (const PlacementOrder &order : orders) {
+            const auto before = std::find_if(engines.begin(), engines.end(), [&](const PlacedEngine &engine) {
+                return engine.id == order.id;
+            });
+            BOOST_TEST(order.layers.contains(before->layers), rest[leaving].id.value << " leaves, " << order.id.value << " gives up layers");
+            BOOST_TEST(!order.dropsStreams);
+        }
+        settle(model, rest);
+        BOOST_TEST(missingLayers(model, rest, "a").empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aGapTooLargeForItsNeighboursMovesFewEngines)
+{
+    // The largest engine of a data centre dies, with 17 layers. Shifted from neighbour to neighbour, the gap made all
+    // engines load a new range, most of them whole; the data centre had no chain for four seconds.
+    const EngineModel model = servedModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 1}, {"middle", 8}, {"small", 3}});
+    settle(model, engines);
+    PlacedEngine &lost = engineHolding(engines, {0, 1});
+    BOOST_TEST(lost.kind == "large");
+    lost.isLeaving = true;
+    lost.isDead = true;
+    int given = 0;
+    for (int round = 0; round < 5; ++round) {
+        const std::vector<PlacementOrder> orders = planPlacement(model, engines);
+        for (const PlacementOrder &order : orders) {
+            const PlacedEngine &engine = *std::find_if(engines.begin(), engines.end(), [&](const PlacedEngine &other) {
+                return other.id == order.id;
+            });
+            given += order.layers.contains(engine.layers) ? 0 : 1;
+            BOOST_TEST(order.dropsStreams);
+        }
+        carryOut(engines, orders);
+    }
+    BOOST_TEST(missingLayers(model, engines, "a").empty());
+    BOOST_TEST(given <= 4);
+    checkMemory(model, engines);
+}
+
+BOOST_AUTO_TEST_CASE(anEmptyEngineHelpsTheOneThatHoldsMost)
+{
+    // A small engine took over the layers of a lost neighbour and has room for few streams, and with it the whole chain.
+    // The engine that comes back took layers that had room enough.
+    const EngineModel model = servedModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"middle", 13}});
+    settle(model, engines);
+    PlacedEngine &full = engineHolding(engines, {40, 41});
+    const LayerRange grown{full.layers.from, full.layers.from + 11};
+    full.layers = grown;
+    PlacedEngine returned;
+    returned.id = {"a-returned"};
+    returned.dataCenter = "a";
+    returned.kind = "middle";
+    engines.push_back(returned);
+    const std::vector<PlacementOrder> orders = planPlacement(model, engines);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(orders[0].id.value == "a-returned");
+    BOOST_TEST(std::min(orders[0].layers.to, grown.to) - std::max(orders[0].layers.from, grown.from) >= 5);
+}
+
 BOOST_AUTO_TEST_CASE(randomFleetsKeepAllLayersThroughLosses)
 {
     // Twenty fleets of random kinds; a third of the engines is lost one by one. As long as the rest could hold the model
@@ -410,6 +586,31 @@
     BOOST_TEST(!coversAllLayers(builder.fleet, situation));
 }
 
+BOOST_AUTO_TEST_CASE(aFirstEngineTakesNoMoreThanItsSlots)
+{
+    // All streams of a data centre begin at one engine, which takes a limited number. Over it the engine refuses them, one
+    // round trip each; the chain elsewhere that has slots free, though farther, is the one to take. A running request
+    // passes through full engines: it has its place.
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId near = builder.add("home", {0, 80}, "huge");
+    const TargetId far = builder.add("away", {0, 80}, "huge");
+    findTarget(builder.fleet, near)->listed.slots = 100;
+    findTarget(builder.fleet, far)->listed.slots = 100;
+    std::mt19937_64 random(1);
+    const ChainSituation situation = situationIn(model, "home");
+    BOOST_TEST((chooseChain(builder.fleet, situation, {100, 50}, random)[0].id == near));
+    findTarget(builder.fleet, near)->openRequests = 30;
+    findTarget(builder.fleet, near)->peersOpenRequests = 70;
+    findTarget(builder.fleet, far)->peersOpenRequests = 90;
+    BOOST_TEST((chooseChain(builder.fleet, situation, {100, 50}, random)[0].id == far));
+    findTarget(builder.fleet, far)->peersOpenRequests = 100;
+    BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
+    ChainSituation running = situation;
+    running.current = {{near, {}, {0, 80}}};
+    BOOST_TEST(!chooseChain(builder.fleet, running, {100, 50}, random).empty());
+}
+
 BOOST_AUTO_TEST_CASE(aRunningRequestKeepsItsFirstPart)
 {
     const EngineModel model = lightModel();
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -230,8 +230,10 @@
     stream["timeoutMs"] = 20000;
     Json open = route("r-open", "/open/", "idempotent", "shop", 2);
     open["public"] = true;
+    // Large enough that only one copy of the model leaves room for 192 streams: the loss of an engine leaves a gap.
+    constexpr int kvTokenBytes = 45000;
     const Json engine = {{"batchSlots", 192},
-                         {"kvTokenBytes", 8000},
+                         {"kvTokenBytes", kvTokenBytes},
                          {"stride", 1},
                          {"models", Json::array({{{"name", "m"}, {"loadS", 1.0}}})},
                          {"step_ms", 1.0},
