--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -298,7 +298,7 @@
     }
 }
 
-Address ChainEngines::add(const std::string &id)
+Address ChainEngines::add(const std::string &id, const Address &registered)
 {
     auto engine = std::make_unique<ChainEngine>();
     ChainEngine &made = *engine;
@@ -324,7 +324,7 @@
         },
         error);
     const Address address{"127.0.0.1", made.listener->port()};
-    made.address = address.toString();
+    made.address = (registered.port == 0 ? address : registered).toString();
     d->engines[id] = std::move(engine);
     return address;
 }
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -32,8 +32,8 @@
     ChainEngines(EventLoop &loop, ChainEnginesOptions options);
     ~ChainEngines();
 
-    /// Starts an engine; returns its address.
-    Address add(const std::string &id);
+    /// Starts an engine; returns its address. Chains name it by `registered` if that is given.
+    Address add(const std::string &id, const Address &registered = {});
     /// It accepts connections and never answers, and streams through it stall.
     void silence(const std::string &id);
     /// It closes all connections and takes no more.
--- a/stand-ins/table_store.cpp
+++ b/stand-ins/table_store.cpp
@@ -162,6 +162,9 @@
         absl::Base64Unescape(put.at("value").get<std::string>(), &value);
         write(put.at("table"), put.at("key"), value, false);
     }
+    for (const Json &removal : body.value("remove", Json::array())) {
+        write(removal.at("table"), removal.at("key"), {}, true);
+    }
     if (faults.losesWrites) {
         unanswered.push_back(exchange);
     } else {
--- /dev/null
+++ b/stand-ins/target_host_main.cpp
@@ -0,0 +1,163 @@
+// stand-in-target-host: the engines and plain targets of one data centre as a process, registered in the table store.
+#include "base/text.h"
+#include "http/client.h"
+#include "stand-ins/chain_engines.h"
+#include "stand-ins/process.h"
+#include "stand-ins/raw_target.h"
+#include "stand-ins/registry_entry.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/escaping.h>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+
+ABSL_FLAG(std::string, store, "", "host:port of the table store");
+ABSL_FLAG(std::string, data_center, "dc-1", "data centre of all targets");
+ABSL_FLAG(std::vector<std::string>, engines, {}, "ID=HOST:PORT, the address that is registered, separated by commas");
+ABSL_FLAG(std::vector<std::string>, targets, {}, "the same for plain targets of the service \"shop\"");
+ABSL_FLAG(uint64_t, born, 1000, "start of this process, Unix milliseconds, as registered");
+ABSL_FLAG(uint32_t, work_ms, 20, "time that a plain target works on a request");
+
+using namespace Parsleytrail;
+
+static constexpr const char *helpText = R"(stand-in-target-host: engines and plain targets of one data centre, for the soak.
+
+Usage: stand-in-target-host --store=HOST:PORT [--data_center=NAME] [--engines=ID=HOST:PORT,...] [--targets=ID=HOST:PORT,...]
+                            [--born=MS] [--work_ms=N]
+
+Prints "listening ID HOST:PORT" for each target, the address at which it really listens; what stands between it and the
+registered address is the caller's. Prints "ran ATTEMPT TARGET" for each request that a plain target ran.
+SIGTERM: the targets are registered as draining, go on for a second, and leave.
+)";
+
+/// Registered this often.
+constexpr milliseconds heartbeat{300};
+/// Served on after the registry was told that the targets leave.
+constexpr milliseconds drainTime{1000};
+
+/// All targets of the process.
+struct TargetHost {
+    EventLoop loop;
+    HttpClient client{loop};
+    StandIn::ChainEngines engines{loop, {.layers = 8, .events = 20, .gap = milliseconds(20), .load = milliseconds(50)}};
+    std::map<std::string, std::unique_ptr<StandIn::RawTarget>> targets;
+    std::vector<ListedTarget> listed;
+    Address store;
+    int heartbeats = 0;
+    bool isDraining = false;
+};
+
+static StandIn::RawReply runRequest(const std::string &target, const StandIn::RawRequest &request)
+{
+    std::cout << "ran " << request.field("X-Attempt-Id") << " " << target << std::endl;
+    StandIn::RawReply reply;
+    reply.bytes = StandIn::sealedAnswer(request, "done " + request.field("X-Attempt-Id") + " " + request.body);
+    reply.delay = milliseconds(absl::GetFlag(FLAGS_work_ms));
+    return reply;
+}
+
+static void writeRows(TargetHost &host, bool isGone)
+{
+    ++host.heartbeats;
+    nlohmann::json puts = nlohmann::json::array();
+    nlohmann::json removals = nlohmann::json::array();
+    for (ListedTarget &target : host.listed) {
+        nlohmann::json row = {{"table", "servers"}, {"part", ""}, {"key", target.id.value}};
+        if (isGone) {
+            removals.push_back(row);
+            continue;
+        }
+        target.isDraining = host.isDraining;
+        target.layers = target.accelerator.empty() ? LayerRange() : host.engines.layers(target.id.value);
+        row["value"] = absl::Base64Escape(StandIn::registryEntry(target, host.heartbeats));
+        puts.push_back(row);
+    }
+    HttpClientRequest request;
+    request.method = "POST";
+    request.path = "/rows-tx";
+    request.body = nlohmann::json{{"expectedRevision", nlohmann::json::array()}, {"puts", puts}, {"remove", removals}}.dump();
+    request.timeout = heartbeat;
+    host.client.fetch(host.store, std::move(request), [&host, isGone](const HttpResult &result) {
+        if (!result.isOk()) {
+            std::cerr << "registry: " << (result.failure ? result.failure->error.toString() : std::to_string(result.status)) << '\n';
+        }
+        if (isGone) {
+            host.loop.stop();
+        }
+    });
+}
+
+static Result<ListedTarget> parseTarget(const std::string &text)
+{
+    const std::size_t equals = text.find('=');
+    if (equals == std::string::npos) {
+        return fail("read --engines or --targets", text, "expected ID=HOST:PORT");
+    }
+    ListedTarget target;
+    target.id = {text.substr(0, equals)};
+    BOOST_LEAF_ASSIGN(target.address, parseAddress(text.substr(equals + 1)));
+    target.dataCenter = absl::GetFlag(FLAGS_data_center);
+    target.startedAtMs = absl::GetFlag(FLAGS_born);
+    return target;
+}
+
+static Result<void> startTargets(TargetHost &host)
+{
+    BOOST_LEAF_ASSIGN(host.store, parseAddress(absl::GetFlag(FLAGS_store)));
+    for (const std::string &text : absl::GetFlag(FLAGS_engines)) {
+        BOOST_LEAF_AUTO(target, parseTarget(text));
+        target.service = {"chat"};
+        target.accelerator = "small";
+        target.slots = 192;
+        std::cout << "listening " << target.id.value << " " << host.engines.add(target.id.value, target.address).toString() << std::endl;
+        host.listed.push_back(target);
+    }
+    for (const std::string &text : absl::GetFlag(FLAGS_targets)) {
+        BOOST_LEAF_AUTO(target, parseTarget(text));
+        target.service = {"shop"};
+        target.slots = 6;
+        const std::string id = target.id.value;
+        host.targets[id] = std::make_unique<StandIn::RawTarget>(host.loop, [id](const StandIn::RawRequest &request) {
+            return runRequest(id, request);
+        });
+        std::cout << "listening " << id << " " << host.targets[id]->address().toString() << std::endl;
+        host.listed.push_back(target);
+    }
+    return {};
+}
+
+int main(int argc, char **argv)
+{
+    if (StandIn::printHelp(argc, argv, helpText)) {
+        return 0;
+    }
+    absl::ParseCommandLine(argc, argv);
+    TargetHost host;
+    Error error;
+    const auto start = [&host] {
+        return startTargets(host);
+    };
+    if (!runCatching(start, error)) {
+        std::cerr << error.toString() << '\n';
+        return 1;
+    }
+    Timer tick(host.loop, [&host] {
+        writeRows(host, false);
+    });
+    Timer leave(host.loop, [&host, &tick] {
+        tick.stop();
+        writeRows(host, true);
+    });
+    host.loop.onSignal(SIGTERM, [&host, &leave] {
+        host.isDraining = true;
+        writeRows(host, false);
+        leave.start(drainTime);
+    });
+    writeRows(host, false);
+    tick.startRepeating(heartbeat);
+    host.loop.run();
+    return 0;
+}
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.h"
 #include "http/client.h"
+#include "stand-ins/registry_entry.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -190,14 +191,12 @@
 
 void RelaySystem::list(const std::string &id, const std::string &service, const Address &address, const std::string &state)
 {
-    Json entry = {{"service", service}, {"address", address.toString()}, {"zone", "dc-1"}, {"version", "v1"}, {"batchSlots", 6}, {"state", state},
-                  {"coldLeftMs", 0},    {"seqNo", ++d->heartbeats[id]},  {"born", 1000}};
+    ListedTarget target{{id}, {service}, address, "dc-1", state == "draining", 6, {}, {}, 1000};
     if (service == "chat") {
-        const LayerRange layers = d->engines.layers(id);
-        entry["kind"] = "small";
-        entry["layers"] = {{"from", layers.from}, {"to", layers.to}, {"version", 1}};
+        target.accelerator = "small";
+        target.layers = d->engines.layers(id);
     }
-    d->store.put("servers", id, entry.dump());
+    d->store.put("servers", id, StandIn::registryEntry(target, ++d->heartbeats[id]));
 }
 
 void RelaySystem::listEngine(const std::string &id, const std::string &state)
