--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -16,7 +16,7 @@
 /// A stream that has begun waits this long for a chain to go on. Callers leave after two seconds without an event: it is
 /// theirs to end the answer.
 constexpr milliseconds longestCallerPause{2500};
-/// Between two looks for a chain; each may cost a retry.
+/// Between two looks for a chain.
 constexpr milliseconds waitInterval{150};
 /// A stream with no near way around an engine that is about to go begins anew elsewhere after this time: loads that the
 /// engine is to make wait for it.
@@ -83,7 +83,7 @@
     void startAttempt();
     bool startMove();
     bool isChainBroken(TimePoint now) const;
-    void takeMove(bool isMoved, int move);
+    void takeMove(bool isMoved, int move, const std::vector<ChainPart> &before);
     void moveAway(std::string_view reason);
     void goOnWaiting(TimePoint now);
     void refuseWithoutChain(const ChainSituation &situation);
@@ -435,9 +435,9 @@
     reserve(+1);
     m_movedAt = situation.now;
     const int move = ++m_moves;
-    m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move](bool isMoved) {
+    m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move, before = std::move(situation.current)](bool isMoved) {
         if (const auto self = weak.lock()) {
-            takeMove(isMoved, move);
+            takeMove(isMoved, move, before);
         }
     });
     return true;
@@ -481,7 +481,8 @@
     }
 }
 
-void StreamForwarding::takeMove(bool isMoved, int move)
+/// The first engine's answer to an order to move the stream; `before` is the chain that it had.
+void StreamForwarding::takeMove(bool isMoved, int move, const std::vector<ChainPart> &before)
 {
     if (m_isOver || move != m_moves) {
         return;
@@ -492,6 +493,10 @@
                                   {"event", std::to_string(m_lastEvent)},
                                   {"gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_context.clock.now() - m_eventAt).count())}});
     if (!isMoved) {
+        // It still waits in the chain it had: what is looked at and reserved must be that one, also if it may not begin anew.
+        reserve(-1);
+        m_chain = before;
+        reserve(+1);
         moveAway("engine of the chain is dead");
     }
 }
@@ -533,9 +538,13 @@
         failRequest(m_context, m_request, "no chain to go on", firstTarget(), m_sent);
         return end();
     }
-    const bool isDue = now - m_waitedAt >= waitInterval;
-    if (isDue && tryRetry(m_context, m_request.service->name)) {
-        m_waitedAt = now;
+    if (now - m_waitedAt < waitInterval) {
+        return;
+    }
+    m_waitedAt = now;
+    // Looking costs nothing; a retry is taken only for a chain that is there.
+    const bool hasChain = !chooseChain(m_context.fleet, situationNow(), m_demand, m_context.random).empty();
+    if (hasChain && tryRetry(m_context, m_request.service->name)) {
         startAttempt();
     }
 }
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -135,7 +135,6 @@
     RunningRelay &running = *d->relays.at(index);
     RelaySettings &settings = running.settings;
     settings.id = "entry-" + std::to_string(index);
-    settings.region = "here";
     settings.dataCenter = "dc-1";
     // Peers share a port, as on instances of their own: each has its own loopback address.
     settings.host = "127.0.0." + std::to_string(10 + index);
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,9 @@
 #!/usr/bin/env python3
 """A randomized soak: real relays, a table store and target hosts as processes, faults from outside, promises checked.
 
-    tests/soak.py BUILD [--seeds 1-3,8] [--seconds 8] [--keep FOLDER]
+    tests/soak.py BUILD [--seeds 1-3,8] [--seconds 8]
+
+Without --seeds: seed 1 and all that ever failed.
 
 Each seed draws a series of faults that follow and overlap each other: loopback proxies delay, reset, silence or cut one
 way the connections between relays, store and targets; processes are stopped, paused, killed and restarted by signals; the
@@ -37,6 +39,12 @@
 STOP_TIMEOUT = 3.0  # seconds from the stop signal to the relay's own end; the setting below says the same
 RECOVERY = 20.0  # seconds after the last fault until all relays must serve again; a lease and a store's grace are 6 of them
 ANSWER_TIMEOUT = 6.0  # seconds that a caller waits
+SECONDS = 8.0  # length of the faults of a seed
+# Seeds that failed once, with the cause. They stay as they are.
+REGRESSIONS = {
+    17: "the soak's own signals took the exit status of a relay that had stopped as told",
+    33: "the same",
+}
 NODE_FILE = "PARSLEYTRAIL_NODE_FILE"
 
 
@@ -180,6 +188,7 @@
         self.random = random.Random(seed)
         self.broken = []
         self.refused = set()  # ids that were promised not to have run
+        self.repeatable = set()  # ids of reads, which may run more than once
         self.counts = {"streams": 0, "whole streams": 0, "calls": 0, "good calls": 0, "faults": 0}
         self.version = 0
         self.next_id = 0
@@ -210,7 +219,7 @@
 
     async def make_host(self, index):
         host = Process(f"host-{index}", self.folder, lambda start: self.host_command(index, start))
-        host.names = [f"engine-{index}-{i}" for i in range(ENGINES)] + [f"shop-{index}"]
+        host.names = self.host_names(index)
         for name in host.names:
             self.proxies[name] = await Proxy(name, 0).start()
         await host.start()
@@ -218,14 +227,14 @@
         return host
 
     def host_command(self, index, start):
-        registered = {name: f"{name}={'127.0.0.1'}:{self.proxies[name].port}" for name in self.hosts_names(index)}
+        registered = {name: f"{name}=127.0.0.1:{self.proxies[name].port}" for name in self.host_names(index)}
         engines = ",".join(text for name, text in registered.items() if name.startswith("engine"))
         targets = ",".join(text for name, text in registered.items() if name.startswith("shop"))
         return [self.build / "stand-in-target-host", f"--store={self.store_address[0]}:{self.store_address[1]}",
                 f"--data_center=dc-{index}", f"--engines={engines}", f"--targets={targets}", f"--born={1000 + start}"]
 
     @staticmethod
-    def hosts_names(index):
+    def host_names(index):
         return [f"engine-{index}-{i}" for i in range(ENGINES)] + [f"shop-{index}"]
 
     async def connect_host(self, host):
@@ -238,7 +247,7 @@
         host = f"{self.host_prefix}{index + 1}"
         settings = self.folder / f"relay-{index}.ini"
         settings.write_text(
-            f"[relay]\nid = entry-{index}\nregion = here\ndata-center = dc-{index % DATA_CENTERS}\nhost = {host}\n"
+            f"[relay]\nid = entry-{index}\ndata-center = dc-{index % DATA_CENTERS}\nhost = {host}\n"
             f"caller-address = {host}:8080\nreadiness-address = {host}:8081\npeer-port = {self.peer_port}\n"
             f"metrics-port = {self.peer_port + 1}\nseeds = {self.host_prefix}1:1,{self.host_prefix}2:1\n"
             f"store = 127.0.0.1:{proxy.port}\nstore-watch = 500ms\nstop-timeout = {STOP_TIMEOUT * 1000:.0f}ms\n", encoding="utf-8")
@@ -281,6 +290,8 @@
     def make_head(self, method, path):
         self.next_id += 1
         attempt = f"s{self.seed}-{self.next_id}"
+        if path == "/read/":
+            self.repeatable.add(attempt)
         return attempt, (f"{method} {path}{attempt} HTTP/1.1\r\nHost: host.example\r\nX-Attempt-Id: {attempt}\r\n"
                          f"X-Deadline-Ms: {int(ANSWER_TIMEOUT * 1000)}\r\n").encode()
 
@@ -436,11 +447,10 @@
             for line in log.read_text(errors="replace").splitlines():
                 if line.startswith("ran "):
                     runs.setdefault(line.split()[1], []).append(line.split()[2])
-        reads = {f"s{self.seed}-{number}" for number in self.read_ids}
         for attempt, targets in runs.items():
             if attempt in self.refused:
                 self.fail("refusals", f"{attempt} was refused as not run and ran at {targets}")
-            if len(targets) > 1 and attempt not in reads:
+            if len(targets) > 1 and attempt not in self.repeatable:
                 self.fail("once", f"{attempt} ran at {targets}")
 
     def check_ends(self):
@@ -450,7 +460,6 @@
 
     async def run(self):
         self.is_over = False
-        self.read_ids = set()
         await self.start()
         for process in [*self.relays, *self.hosts]:
             process.is_changing = False
@@ -466,16 +475,6 @@
         self.check_runs()
 
 
-class RecordingSoak(Soak):
-    """Remembers which ids were repeatable reads."""
-
-    def make_head(self, method, path):
-        made = super().make_head(method, path)
-        if path == "/read/":
-            self.read_ids.add(self.next_id)
-        return made
-
-
 def parse_seeds(text):
     seeds = []
     for part in text.split(","):
@@ -486,7 +485,7 @@
 
 async def run_seed(options, seed):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"parsley-soak-{seed}-"))
-    soak = RecordingSoak(pathlib.Path(options.build).resolve(), seed, options.seconds, folder)
+    soak = Soak(pathlib.Path(options.build).resolve(), seed, options.seconds, folder)
     try:
         await soak.run()
     finally:
@@ -506,8 +505,8 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("build", help="folder with the programs")
-    parser.add_argument("--seeds", default="1-3", help="numbers and ranges, separated by commas")
-    parser.add_argument("--seconds", type=float, default=8.0, help="length of the faults of a seed")
+    parser.add_argument("--seeds", default=",".join(map(str, [1, *REGRESSIONS])), help="numbers and ranges, separated by commas")
+    parser.add_argument("--seconds", type=float, default=SECONDS, help="length of the faults of a seed")
     options = parser.parse_args()
     kept = [asyncio.run(run_seed(options, seed)) for seed in parse_seeds(options.seeds)]
     print(f"{sum(kept)} passed, {len(kept) - sum(kept)} failed")
