--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -231,27 +231,43 @@
     return touches && both.count() <= layersThatFit(model, engine, tuning.emergencyShare) ? both : part;
 }
 
-/// Cost of an engine's giving up all of its layers but those in `kept`.
-static double giveUpCost(const PlacedEngine &engine, LayerRange kept, const std::vector<int> &copies, const PlacementTuning &tuning)
+/// Sums of the cost of giving up the layers below each layer: a plan asks for the cost of some hundred thousand ranges, and
+/// on a twentieth of a core a plan of milliseconds holds back events.
+static std::vector<double> sumGiveUpCosts(const std::vector<int> &copies, const PlacementTuning &tuning)
 {
-    double cost = 0;
-    for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
-        const bool isKept = kept.from <= layer && layer < kept.to;
-        cost += isKept ? 0 : copies[layer] > 1 ? tuning.giveUpSharedCost : tuning.giveUpCost;
+    std::vector<double> sums = {0};
+    for (const int holders : copies) {
+        sums.push_back(sums.back() + (holders > 1 ? tuning.giveUpSharedCost : tuning.giveUpCost));
+    }
+    return sums;
+}
+
+static int keptLayers(const PlacedEngine &engine, LayerRange held)
+{
+    return std::max(0, std::min(held.to, engine.layers.to) - std::max(held.from, engine.layers.from));
+}
+
+/// Cost of an engine's giving up all of its layers but those in `held`.
+static double giveUpCost(const PlacedEngine &engine, LayerRange held, const std::vector<double> &sums)
+{
+    const double all = sums[engine.layers.to] - sums[engine.layers.from];
+    if (keptLayers(engine, held) == 0) {
+        return all;
     }
-    return cost;
+    return all - (sums[std::min(held.to, engine.layers.to)] - sums[std::max(held.from, engine.layers.from)]);
 }
 
 /// Cost of an engine's serving a part: layers to be loaded and given up, and the KV cache that is lost.
-static double partCost(const EngineModel &model, const PlacedEngine &engine, LayerRange part, const std::vector<int> &copies, const PlacementTuning &tuning)
+static double partCost(const EngineModel &model, const PlacedEngine &engine, LayerRange part, const std::vector<double> &giveUpSums,
+                       const PlacementTuning &tuning)
 {
     if (part.count() == 0 || engine.layers.contains(part)) {
         return 0;
     }
     const LayerRange held = rangeToHold(model, engine, part, tuning);
-    const int kept = std::max(0, std::min(held.to, engine.layers.to) - std::max(held.from, engine.layers.from));
     const double fill = held.count() * model.layerMb / memoryOf(model, engine) / tuning.layerShare;
-    return (held.count() - kept) + tuning.fillCost * std::pow(fill, 4) + giveUpCost(engine, held, copies, tuning);
+    const double lostCache = tuning.fillCost * fill * fill * fill * fill;
+    return (held.count() - keptLayers(engine, held)) + lostCache + giveUpCost(engine, held, giveUpSums);
 }
 
 /// A way to cover all layers.
@@ -263,7 +279,7 @@
 
 /// The cheapest way to cover all layers by the engines in the given order: each takes the layers where the one before it
 /// ends, or is left out. The cost is unreachableCost if they can't.
-static Cut cutInOrder(const EngineModel &model, EngineGroup chain, const std::vector<int> &copies, const PlacementTuning &tuning)
+static Cut cutInOrder(const EngineModel &model, EngineGroup chain, const std::vector<double> &giveUpSums, const PlacementTuning &tuning)
 {
     const std::size_t width = model.layers + 1;
     std::vector<double> cost((chain.size() + 1) * width, unreachableCost);
@@ -278,7 +294,7 @@
                 if (chain[i].isFixed && to > from && !chain[i].layers.contains({from, to})) {
                     continue;
                 }
-                const double total = base + partCost(model, chain[i], {from, to}, copies, tuning);
+                const double total = base + partCost(model, chain[i], {from, to}, giveUpSums, tuning);
                 if (total < cost[(i + 1) * width + to]) {
                     cost[(i + 1) * width + to] = total;
                     cameFrom[(i + 1) * width + to] = from;
@@ -306,6 +322,7 @@
 /// own that its neighbours can take.
 static Cut cutWithMove(const EngineModel &model, const EngineGroup &chain, const std::vector<int> &copies, const PlacementTuning &tuning)
 {
+    const std::vector<double> giveUpSums = sumGiveUpCosts(copies, tuning);
     Cut best;
     for (const LayerRange &gap : gapsOf(copies)) {
         for (std::size_t moved = 0; moved < chain.size(); ++moved) {
@@ -320,8 +337,8 @@
                 return other.layers.from > gap.from;
             });
             others.insert(behind, engine);
-            Cut cut = cutInOrder(model, std::move(others), copies, tuning);
-            cut.cost += giveUpCost(chain[moved], {}, copies, tuning);
+            Cut cut = cutInOrder(model, std::move(others), giveUpSums, tuning);
+            cut.cost += giveUpCost(chain[moved], {}, giveUpSums);
             if (cut.cost < best.cost) {
                 best = std::move(cut);
             }
@@ -340,6 +357,7 @@
     if (cut.cost >= unreachableCost) {
         return;
     }
+    const std::vector<double> giveUpSums = sumGiveUpCosts(copies, tuning);
     std::vector<PlacementOrder> adding;
     std::vector<PlacementOrder> givingUp;
     for (std::size_t i = 0; i < cut.chain.size(); ++i) {
@@ -348,7 +366,7 @@
             continue;
         }
         const LayerRange held = rangeToHold(model, cut.chain[i], cut.parts[i], tuning);
-        const bool givesUp = giveUpCost(engine, held, copies, tuning) >= tuning.giveUpCost;
+        const bool givesUp = giveUpCost(engine, held, giveUpSums) >= tuning.giveUpCost;
         (givesUp ? givingUp : adding).push_back({engine.id, held, "gap shared out"});
     }
     const bool isServing = servesAllLayers(model, group);
@@ -374,8 +392,8 @@
     std::stable_sort(chain.begin(), chain.end(), [](const PlacedEngine &a, const PlacedEngine &b) {
         return a.layers.from != b.layers.from ? a.layers.from < b.layers.from : a.id < b.id;
     });
-    Cut cut = cutInOrder(model, chain, copies, tuning);
-    Cut moved = cutWithMove(model, chain, copies, tuning);
+    const Cut cut = cutInOrder(model, chain, sumGiveUpCosts(copies, tuning), tuning);
+    const Cut moved = cutWithMove(model, chain, copies, tuning);
     orderCut(model, group, moved.cost < cut.cost ? moved : cut, tuning, copies, orders);
 }
 
