Soaks that run side by side do not share addresses; a signal to a process that has just ended is no fault

Seed 17 ran twice at once on one machine with the addresses that follow from the seed: the second relay could not listen ("ended with 1"), and each soak saw the other's requests run. Seed 42: a relay ended between the look at its status and the signal; the exception ended the fault before it started the relay again (soak.log: ProcessLookupError, then nothing of relay-1, whose log ends with ProcessStopped).

Ruled out: the relays (logs of both end in order; requests told as run were those of the other soak).

Change: addresses are reserved by a socket; signals to processes that have ended are passed over.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -28,6 +28,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -42,9 +43,11 @@
 SECONDS = 8.0  # length of the faults of a seed
 # Seeds that failed once, with the cause. They stay as they are.
 REGRESSIONS = {
-    17: "the soak's own signals took the exit status of a relay that had stopped as told",
-    33: "the same",
+    17: "the soak's own signals took the exit status of a relay that had stopped as told; two soaks of one seed shared addresses",
+    33: "the first of these",
+    42: "a signal to a relay that had just ended stopped the soak from starting it again",
 }
+GUARD_PORT = 8079  # held while a soak uses its addresses
 NODE_FILE = "PARSLEYTRAIL_NODE_FILE"
 
 
@@ -119,7 +122,10 @@
             if ends:
                 self.expected_end = number
             # Popen.send_signal() polls first and may take the exit status that asyncio waits for.
-            os.kill(self.process.pid, number)
+            try:
+                os.kill(self.process.pid, number)
+            except ProcessLookupError:
+                pass  # it has just ended; asyncio does not know yet
 
     async def end(self, number):
         self.signal(signal.SIGCONT)
@@ -141,6 +147,19 @@
     return host, int(port)
 
 
+def reserve_addresses():
+    """A range of loopback addresses that no other soak of this machine uses, and the socket that keeps it."""
+    for number in range(os.getpid(), os.getpid() + 1000):
+        prefix = f"127.{20 + number % 200}.{number // 200 % 250}."
+        guard = socket.socket()
+        try:
+            guard.bind((prefix + "1", GUARD_PORT))
+            return prefix, guard
+        except OSError:
+            guard.close()
+    raise RuntimeError("no loopback addresses are free")
+
+
 class Connection:
     """A caller's connection to a relay, used until it breaks."""
 
@@ -192,7 +211,7 @@
         self.counts = {"streams": 0, "whole streams": 0, "calls": 0, "good calls": 0, "faults": 0}
         self.version = 0
         self.next_id = 0
-        self.host_prefix = f"127.{20 + seed % 200}.{self.random.randrange(200)}."
+        self.host_prefix, self.guard = reserve_addresses()
         self.peer_port = 20000 + self.random.randrange(10000)
         self.relays, self.hosts, self.proxies = [], [], {}
 
