Two types of one name: the sidecar's report of its engine has a name of its own

Cause: src/sidecar and src/relay each defined a struct EngineReport in the same namespace. Linked into one test program, a build without optimization used the sidecar's destructor on the relay's report: RelayStreamsTest/ emptyEnginesAreGivenTheModelAndStreamsAreServed ended with SIGSEGV in free() (backtrace through decodeReport). Seen once, in a debug build; optimized builds inline both and hid it. Ruled out: the change of placement under work (the same without it in the trace: the object is destroyed before any plan).

--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -76,7 +76,7 @@
     bool isAloneInFlight = false;  ///< the step in flight must have the engine for itself
     std::uint64_t deaths = 0;      ///< of the engine, as seen by broken steps
     bool hasStepSinceDeath = true; ///< broken steps with none done in between belong to one death
-    EngineReport report;
+    EngineState report;
     std::uint32_t missedReports = 0;
     bool isRefreshing = false;
     TimeEstimate stepTime;
@@ -215,7 +215,7 @@
         logEvent(Event::TargetHealthy, {{"peer", context.targetAddress.toString()}});
     }
     try {
-        EngineReport fresh;
+        EngineState fresh;
         fresh.isHealthy = true;
         fresh.model.value = answer.value("model", "");
         fresh.version = answer.value("version", "");
@@ -294,7 +294,7 @@
                             });
 }
 
-const EngineReport &EngineClient::report() const
+const EngineState &EngineClient::report() const
 {
     return d->report;
 }
--- a/src/sidecar/engine_client.h
+++ b/src/sidecar/engine_client.h
@@ -43,7 +43,7 @@
 };
 
 /// What the engine holds, as it last reported.
-struct EngineReport {
+struct EngineState {
     bool isHealthy = false;            ///< it answers
     ModelName model;                   ///< model loaded
     std::string version;               ///< version loaded
@@ -70,7 +70,7 @@
     /// Asks for the engine's report; `changed` is called when it comes.
     void refresh(std::function<void()> changed);
 
-    const EngineReport &report() const;
+    const EngineState &report() const;
     std::size_t queued() const;
     /// Smoothed time of a step, microseconds; 0 before the first.
     std::uint32_t stepMicros() const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -260,7 +260,7 @@
         announcement.stepMicros = calls->callMicros();
         return;
     }
-    const EngineReport &report = engine->report();
+    const EngineState &report = engine->report();
     announcement.kind = TargetKind::Engine;
     announcement.model = report.model;
     announcement.version = report.version;
@@ -318,7 +318,7 @@
         result["calls"] = json::parse(calls->dump());
         return result;
     }
-    const EngineReport &report = engine->report();
+    const EngineState &report = engine->report();
     result["engine"] = {{"model", report.model.value},     {"version", report.version},   {"adapters", report.adapters},
                         {"layerBegin", report.layerBegin}, {"layerEnd", report.layerEnd}, {"kvUsed", report.kvUsed},
                         {"kvCapacity", report.kvCapacity}, {"queued", engine->queued()},  {"stepMicros", engine->stepMicros()}};
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -359,7 +359,7 @@
     }
     HeldStream *known = find(open.request);
     const StageAddress &self = open.stages[open.stageIndex];
-    const EngineReport &report = engine.report();
+    const EngineState &report = engine.report();
     const bool isForMe = self.target.value == context.settings.id && self.incarnation == context.incarnation;
     const bool holdsLayers =
         self.layerBegin == report.layerBegin && self.layerEnd == report.layerEnd && open.model == report.model && open.version == report.version;
