First plan: ranges by the widest narrowest engine

Cause: shares of the model in proportion to memory were rounded, so that a 14.4 GB engine held 7 layers with 0.31 GB of KV cache a layer beside engines with 1.13. A chain takes as many streams as its narrowest engine; after a short burst chains were full at normal load, refused callers came back to the same full engine, and the fleet did not recover. Change: layers are dealt one by one to the engine that keeps most memory a layer (the highest average method), which makes the least as large as possible.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -106,21 +106,48 @@
 
 // [SECTION] First plan
 
-/// Cuts the model into consecutive ranges in proportion to the engines' memory.
-static void cutChain(const EngineModel &model, const EngineGroup &chain, std::vector<PlacementOrder> &orders)
+/// How many layers each engine of a chain holds: one after the other goes to the engine that keeps most memory for each layer.
+///
+/// A chain takes as many streams as its narrowest engine has KV cache for, and each layer needs the same cache. Shares that
+/// are rounded leave a small engine with one layer too many and next to no cache, while those beside it stand half empty.
+static std::vector<int> layersOfChain(const EngineModel &model, const EngineGroup &chain)
+{
+    std::vector<int> counts(chain.size(), 0);
+    for (int dealt = 0; dealt < model.layers; ++dealt) {
+        std::size_t widest = 0;
+        double widestMb = 0;
+        for (std::size_t i = 0; i < chain.size(); ++i) {
+            const double mbPerLayer = memoryOf(model, chain[i]) / (counts[i] + 1);
+            if (mbPerLayer > widestMb) {
+                widest = i;
+                widestMb = mbPerLayer;
+            }
+        }
+        ++counts[widest];
+    }
+    return counts;
+}
+
+/// Cuts the model into consecutive ranges, so that the narrowest engine has the most KV cache for each layer. Returns no
+/// orders if the engines' memory does not hold the model.
+static std::vector<PlacementOrder> cutChain(const EngineModel &model, const EngineGroup &chain)
 {
-    double rest = groupMemory(model, chain);
+    std::vector<PlacementOrder> orders;
+    if (chain.empty()) {
+        return orders;
+    }
+    const std::vector<int> counts = layersOfChain(model, chain);
     int from = 0;
-    for (const PlacedEngine &engine : chain) {
-        const double memory = memoryOf(model, engine);
-        const int wanted = static_cast<int>(std::lround((model.layers - from) * memory / rest));
-        const int count = std::clamp(wanted, 0, layersThatFit(model, engine, 1.0));
-        rest -= memory;
-        if (count > 0) {
-            orders.push_back({engine.id, {from, from + count}, "first plan"});
-            from += count;
+    for (std::size_t i = 0; i < chain.size(); ++i) {
+        if (counts[i] > layersThatFit(model, chain[i], 1.0)) {
+            return {};
+        }
+        if (counts[i] > 0) {
+            orders.push_back({chain[i].id, {from, from + counts[i]}, "first plan"});
+            from += counts[i];
         }
     }
+    return orders;
 }
 
 /// Deals the engines, largest first, to chains of nearly equal memory.
@@ -164,18 +191,18 @@
             staying.push_back(engine);
         }
     }
-    const double copyMb = model.layers * model.layerMb;
-    std::vector<EngineGroup> chains = dealChains(model, staying, copiesToHold(model, staying, tuning));
-    const auto isTooSmall = [&](const EngineGroup &chain) {
-        return groupMemory(model, chain) < copyMb;
-    };
     // Few large engines can't always be dealt evenly: one whole copy less is better than a part of one.
-    while (chains.size() > 1 && std::any_of(chains.begin(), chains.end(), isTooSmall)) {
-        chains = dealChains(model, staying, static_cast<int>(chains.size()) - 1);
-    }
-    for (const EngineGroup &chain : chains) {
-        if (!isTooSmall(chain)) {
-            cutChain(model, chain, orders);
+    for (int copies = copiesToHold(model, staying, tuning); copies > 0; --copies) {
+        std::vector<PlacementOrder> plan;
+        bool isWhole = true;
+        for (const EngineGroup &chain : dealChains(model, staying, copies)) {
+            const std::vector<PlacementOrder> cut = cutChain(model, chain);
+            isWhole = isWhole && !cut.empty();
+            plan.insert(plan.end(), cut.begin(), cut.end());
+        }
+        if (isWhole) {
+            orders.insert(orders.end(), plan.begin(), plan.end());
+            return;
         }
     }
 }
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -414,6 +414,54 @@
     BOOST_TEST(layers == model.layers);
 }
 
+/// KV cache for each layer that an engine holds, or would hold with some more, MB.
+double cacheMbPerLayer(const EngineModel &model, const PlacedEngine &engine, int more = 0)
+{
+    const int layers = engine.layers.count() + more;
+    return findKind(model, engine.kind)->memoryMb / layers - model.layerMb;
+}
+
+BOOST_AUTO_TEST_CASE(noEngineOfAChainIsNarrowerThanNeedBe)
+{
+    // A burst of streams fills the engine with the least KV cache for each layer. Its chain then takes no more, though all
+    // others stand half empty; callers are refused, come back, and find it full again. So no layer of the narrowest engine
+    // may have a place elsewhere in the chain where it would leave more.
+    const EngineModel model = servedModel();
+    for (int seed = 0; seed < 20; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto draw = [&random](int most) {
+            return std::uniform_int_distribution<int>(0, most)(random);
+        };
+        // At most one whole copy, so that all engines form one chain.
+        std::vector<PlacedEngine> engines = makeEngines("a", {{"huge", draw(1)}, {"large", draw(1)}, {"middle", 4 + draw(2)}, {"small", 4 + draw(2)}});
+        carryOut(engines, planPlacement(model, engines));
+        BOOST_REQUIRE(missingLayers(model, engines, "a").empty());
+        checkMemory(model, engines);
+        const auto narrowest = std::min_element(engines.begin(), engines.end(), [&](const PlacedEngine &a, const PlacedEngine &b) {
+            return cacheMbPerLayer(model, a) < cacheMbPerLayer(model, b);
+        });
+        for (const PlacedEngine &engine : engines) {
+            if (&engine != &*narrowest) {
+                BOOST_TEST(cacheMbPerLayer(model, engine, 1) <= cacheMbPerLayer(model, *narrowest), "seed " << seed << ": " << engine.id.value);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(enginesThatAreNotKnownAreGivenNothing)
+{
+    // The list of engines names a kind that the configuration does not know yet, or all engines are leaving: nobody is left
+    // to deal the model to. The plan is empty until that changes; the process that plans relays streams and must go on.
+    const EngineModel model = servedModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"unknown", 3}});
+    BOOST_TEST(planPlacement(model, engines).empty());
+    engines = makeEngines("a", {{"huge", 3}});
+    for (PlacedEngine &engine : engines) {
+        engine.isLeaving = true;
+    }
+    BOOST_TEST(planPlacement(model, engines).empty());
+}
+
 BOOST_AUTO_TEST_CASE(neighboursOfALeavingEngineAddItsLayersAndGiveUpNone)
 {
     // An engine drains and still serves. Handed on from neighbour to neighbour, its layers made others give up layers that
