Chains cross between data centres within a budget of the pipe

Cause: with no room at home a stream took a chain across data centres, whatever the pipe between them carried. Seen in the relays' logs: CallerGone from 159 to 657 in two seconds, no engine dead, no order under way. Ruled out by trial: crossing only where no data centre holds all layers. Change: the pipe's capacity and the activations of a token are decoded from the configuration; each entry has an even part of six tenths of it, in bytes. Without a known capacity nothing is limited. coversAllLayers no longer asks for room, so that a full fleet is not told as a gap. A second search is made only when the first finds nothing.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -205,6 +205,18 @@
     return false;
 }
 
+static bool holdAllLayers(const std::vector<Candidate> &candidates, int layers)
+{
+    std::vector<bool> isHeld(layers, false);
+    for (const Candidate &candidate : candidates) {
+        const LayerRange &held = candidate.target->listed.layers;
+        for (int layer = std::max(held.from, 0); layer < std::min(held.to, layers); ++layer) {
+            isHeld[layer] = true;
+        }
+    }
+    return std::find(isHeld.begin(), isHeld.end(), false) == isHeld.end();
+}
+
 std::vector<ChainPart> chooseChain(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand, std::mt19937_64 &random,
                                    const ChainTuning &tuning)
 {
@@ -215,7 +227,9 @@
     }
     const std::vector<int> boundaries = boundariesOf(candidates, situation);
     const double tokens = demand.promptTokens + demand.answerTokens;
-    ChainSearch search{candidates, boundaries, dataCenters, situation, tuning, tokens, false};
+    ChainTuning used = tuning;
+    used.crossHopMs = tuning.mayCross ? tuning.crossHopMs : std::numeric_limits<double>::infinity();
+    ChainSearch search{candidates, boundaries, dataCenters, situation, used, tokens, false};
     search.run();
     std::vector<ChainPart> chain = search.bestChain();
     if (hasRepeatedEngine(chain)) {
@@ -229,8 +243,9 @@
 
 bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation)
 {
-    std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): only whether a chain exists matters
-    return !chooseChain(fleet, situation, {0, 0}, random).empty();
+    std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): only who holds what matters
+    std::vector<std::string> dataCenters;
+    return holdAllLayers(makeCandidates(fleet, situation, random, {}, dataCenters), situation.model->layers);
 }
 
 } // namespace Parsleytrail
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -47,8 +47,10 @@
     /// A hop inside a data centre: 0.2 ms one way and the wake-up of the next engine.
     double hopMs = 0.3;
     /// A hop to another data centre moves the activations of every token of prompt and answer through a pipe that all
-    /// share; some 50 requests a second fill it. Large enough that any whole chain inside one data centre goes first.
+    /// share: chains take as few as they can.
     double crossHopMs = 400;
+    /// Whether chains may cross between data centres; see policy/crossing.h.
+    bool mayCross = true;
     /// A chain that begins in another data centre than the entry: only bytes of events cross. Less than what one more
     /// request costs on a busy chain, so that load spreads over data centres before it queues.
     double remoteStartMs = 1.0;
@@ -72,7 +74,7 @@
 /// The best chain; empty if the engines that may be used do not cover all layers, or have no room.
 std::vector<ChainPart> chooseChain(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand, std::mt19937_64 &random,
                                    const ChainTuning &tuning = {});
-/// Whether usable engines hold all layers, room or not: tells a full fleet from one with a gap.
+/// Whether usable engines hold all layers, full or not: tells a full fleet from one with a gap.
 bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation);
 
 } // namespace Parsleytrail
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -67,6 +67,8 @@
     double stepMsPerSequence = 0;       ///< more for each sequence that is decoding
     double readTokensPerMs = 1;         ///< prompt tokens read in a millisecond over all layers
     int stepsPerPass = 1;               ///< decoding steps in one pass, which is one event
+    double activationBytes = 0;         ///< passed on for each token from an engine of a chain to the next
+    double pipeMbps = 0;                ///< that all activations between data centres share
     int batchSlots = 0;                 ///< sequences that a first engine takes at once
     double loadSeconds = 0;             ///< loading all layers
     int loadsAtOnce = 1;                ///< loads that run side by side at full speed
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -57,6 +57,14 @@
     noteRequest(budgetOf(context, service));
 }
 
+CrossingBudget &crossingBudget(RelayContext &context, const ServiceSpec &service)
+{
+    const CrossingBudget fresh = makeCrossingBudget(*service.engine, context.liveEntries);
+    CrossingBudget &budget = context.crossingBudgets[service.name];
+    budget.bytesPerSecond = fresh.bytesPerSecond;
+    return budget;
+}
+
 void avoidTarget(RelayContext &context, const TargetId &id, std::string_view reason)
 {
     Target *target = findTarget(context.fleet, id);
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace Parsleytrail
 {
@@ -80,6 +79,7 @@
 private:
     void readDemand();
     ChainSituation situationNow() const;
+    std::vector<ChainPart> findChain(const ChainSituation &situation);
     void startAttempt();
     bool startMove();
     bool isChainBroken(TimePoint now) const;
@@ -205,16 +205,30 @@
     return situation;
 }
 
+/// A chain inside one data centre, or else one across them while the pipe between them has room.
+std::vector<ChainPart> StreamForwarding::findChain(const ChainSituation &situation)
+{
+    ChainTuning tuning;
+    tuning.mayCross = false;
+    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random, tuning);
+    if (chain.empty() && mayCross(crossingBudget(m_context, *m_request.service), situation.now)) {
+        tuning.mayCross = true;
+        chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random, tuning);
+    }
+    return chain;
+}
+
 void StreamForwarding::startAttempt()
 {
     m_isWaitingForChain = false;
     m_leavingSince = TimePoint();
     const ChainSituation situation = situationNow();
-    std::vector<ChainPart> chain = chooseChain(m_context.fleet, situation, m_demand, m_context.random);
+    std::vector<ChainPart> chain = findChain(situation);
     if (chain.empty()) {
         return refuseWithoutChain(situation);
     }
     m_chain = std::move(chain);
+    noteCrossing(crossingBudget(m_context, *m_request.service), crossingBytes(m_context.fleet, *situation.model, m_chain, m_demand));
     reserve(+1);
     const HeaderNames &names = m_context.dialect.headers();
     std::vector<AddedField> added = {{names.chain, m_context.dialect.encodeChain(m_chain)}};
@@ -422,7 +436,7 @@
 bool StreamForwarding::startMove()
 {
     ChainTuning near;
-    near.crossHopMs = std::numeric_limits<double>::infinity();
+    near.mayCross = false;
     ChainSituation situation = situationNow();
     situation.current = m_chain;
     reserve(-1);
@@ -543,7 +557,7 @@
     }
     m_waitedAt = now;
     // Looking costs nothing; a retry is taken only for a chain that is there.
-    const bool hasChain = !chooseChain(m_context.fleet, situationNow(), m_demand, m_context.random).empty();
+    const bool hasChain = !findChain(situationNow()).empty();
     if (hasChain && tryRetry(m_context, m_request.service->name)) {
         startAttempt();
     }
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -1,6 +1,7 @@
 // The relay's decisions, without a network: routes, the fleet, placement of layers, choice of chains.
 #include "base/text.h"
 #include "policy/chain_choice.h"
+#include "policy/crossing.h"
 #include "policy/duty.h"
 #include "policy/fleet.h"
 #include "policy/placement.h"
@@ -638,6 +639,70 @@
     BOOST_TEST((chain[0].id == first));
 }
 
+BOOST_AUTO_TEST_CASE(chainsCrossOnlyWhereTheyMay)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    builder.add("home", {0, 40});
+    const TargetId rest = builder.add("away", {40, 80});
+    std::mt19937_64 random(1);
+    const ChainSituation situation = situationIn(model, "home");
+    checkChain(model, builder.fleet, chooseChain(builder.fleet, situation, {100, 50}, random));
+    ChainTuning near;
+    near.mayCross = false;
+    BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random, near).empty());
+    noteRemoved(builder.fleet, rest);
+    BOOST_TEST(!coversAllLayers(builder.fleet, situation));
+}
+
+BOOST_AUTO_TEST_CASE(aFullFleetIsNoGap)
+{
+    // Callers refused by a full fleet were told to come back when missing layers are loaded, and the log named a gap.
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    Target *target = findTarget(builder.fleet, builder.add("home", {0, 80}, "huge"));
+    target->listed.slots = 10;
+    target->openRequests = 10;
+    std::mt19937_64 random(1);
+    const ChainSituation situation = situationIn(model, "home");
+    BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
+    BOOST_TEST(coversAllLayers(builder.fleet, situation));
+}
+
+BOOST_AUTO_TEST_CASE(chainsAcrossDataCentersLeaveThePipeRoom)
+{
+    // A burst fills a different part in each data centre, and chains across them are the only ones with room. All streams
+    // took them: the pipe was filled many times over, callers saw nothing for two seconds and left, and the KV cache of
+    // the streams that waited kept both data centres full long after the burst. What all entries together let across
+    // must stay under what the pipe carries, for requests of any size.
+    EngineModel model = lightModel();
+    model.activationBytes = 16400;
+    model.pipeMbps = 3120;
+    FleetBuilder builder;
+    const std::vector<ChainPart> chain = {
+        {builder.add("home", {0, 30}), {}, {0, 30}}, {builder.add("home", {30, 40}), {}, {30, 40}}, {builder.add("away", {40, 80}), {}, {40, 80}}};
+    constexpr int entries = 25;
+    constexpr int seconds = 10;
+    std::vector<CrossingBudget> budgets(entries, makeCrossingBudget(model, entries));
+    double bytes = 0;
+    for (int tick = 0; tick < seconds * 100; ++tick) {
+        for (CrossingBudget &budget : budgets) {
+            const StreamDemand demand{100.0 + 20 * (tick % 100), 200};
+            if (mayCross(budget, start + milliseconds(10) * tick)) {
+                noteCrossing(budget, crossingBytes(builder.fleet, model, chain, demand));
+                bytes += (demand.promptTokens + demand.answerTokens) * model.activationBytes;
+            }
+        }
+    }
+    const double pipeBytes = model.pipeMbps * 1e6 / 8 * seconds;
+    BOOST_TEST(bytes < pipeBytes);
+    BOOST_TEST(bytes > pipeBytes / 3);
+    BOOST_TEST(crossingBytes(builder.fleet, model, {chain[0], chain[1]}, {100, 200}) == 0);
+    CrossingBudget unknown = makeCrossingBudget(lightModel(), entries);
+    noteCrossing(unknown, 1e12);
+    BOOST_TEST(mayCross(unknown, start), "a fleet that no data centre holds is served whatever the pipe");
+}
+
 BOOST_AUTO_TEST_CASE(loadSpreadsOverEqualEngines)
 {
     const EngineModel model = lightModel();
