A refused stream's log line gives the room that decided it

RequestRefused said no-room without the figures behind it. It now names, for each data centre, usable engines, free slots of first engines, and the streams that the narrowest layer has room for, with that layer.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -241,6 +241,44 @@
     return chain;
 }
 
+static DataCenterRoom roomOf(const std::vector<Candidate> &candidates, std::size_t dataCenter, const EngineModel &model, double tokens,
+                             const ChainTuning &tuning)
+{
+    DataCenterRoom room;
+    std::vector<double> streams(model.layers, 0);
+    for (const Candidate &candidate : candidates) {
+        const ListedTarget &listed = candidate.target->listed;
+        if (candidate.dataCenter != dataCenter) {
+            continue;
+        }
+        ++room.engines;
+        const int open = candidate.target->openRequests + candidate.target->peersOpenRequests;
+        room.slots += listed.layers.from == 0 ? std::max(0, static_cast<int>(listed.slots * tuning.slotLimit) - open) : 0;
+        for (int layer = std::max(listed.layers.from, 0); layer < std::min(listed.layers.to, model.layers); ++layer) {
+            streams[layer] += std::max(0.0, candidate.kvRoom / (tokens * listed.layers.count()));
+        }
+    }
+    const auto narrowest = std::min_element(streams.begin(), streams.end());
+    room.narrowestLayer = static_cast<int>(narrowest - streams.begin());
+    room.streams = static_cast<int>(*narrowest);
+    return room;
+}
+
+std::vector<DataCenterRoom> roomByDataCenter(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand)
+{
+    std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): costs don't matter
+    const ChainTuning tuning;
+    std::vector<std::string> names;
+    const std::vector<Candidate> candidates = makeCandidates(fleet, situation, random, tuning, names);
+    const double tokens = std::max(1.0, demand.promptTokens + demand.answerTokens);
+    std::vector<DataCenterRoom> rooms;
+    for (std::size_t dataCenter = 0; dataCenter < names.size(); ++dataCenter) {
+        rooms.push_back(roomOf(candidates, dataCenter, *situation.model, tokens, tuning));
+        rooms.back().dataCenter = names[dataCenter];
+    }
+    return rooms;
+}
+
 bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation)
 {
     std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): only who holds what matters
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -74,6 +74,17 @@
 /// The best chain; empty if the engines that may be used do not cover all layers, or have no room.
 std::vector<ChainPart> chooseChain(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand, std::mt19937_64 &random,
                                    const ChainTuning &tuning = {});
+/// How much more a data centre could take, as this entry sees it.
+struct DataCenterRoom {
+    std::string dataCenter; ///< name
+    int engines = 0;        ///< that may be used
+    int slots = 0;          ///< free at the engines that hold layer 0
+    int streams = 0;        ///< for which its narrowest layer has KV cache
+    int narrowestLayer = 0; ///< that layer; the first of several
+};
+/// Room of each data centre for requests like this one; for logs.
+std::vector<DataCenterRoom> roomByDataCenter(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand);
+
 /// Whether usable engines hold all layers, full or not: tells a full fleet from one with a gap.
 bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation);
 
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -89,6 +89,7 @@
                                      {"attempts", std::to_string(attempts)},
                                      {"retry_after_ms", std::to_string(retryAfter.count())},
                                      {"held_ms", millisecondsText(request.exchange->receivedAt(), context.clock.now())},
+                                     {"inputs", refusal.inputs},
                                      {"configuration", versionText(request)}});
     request.exchange->reply(503, {{"Retry-After", absl::StrCat(seconds)}}, refusal.reason);
 }
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -10,6 +10,7 @@
 struct Refusal {
     std::string_view reason; ///< for the log and the body
     milliseconds retryAfter; ///< until when the cause is expected to be gone
+    std::string inputs{};    ///< what decided it, for the log
 };
 
 /// A field that the relay adds to a request.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -4,6 +4,8 @@
 #include "base/log.h"
 #include "base/text.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -174,6 +176,16 @@
     }
 }
 
+static std::string roomText(const std::vector<DataCenterRoom> &rooms)
+{
+    std::vector<std::string> parts;
+    for (const DataCenterRoom &room : rooms) {
+        parts.push_back(
+            absl::StrCat(room.dataCenter, " engines ", room.engines, " slots ", room.slots, " streams ", room.streams, " at layer ", room.narrowestLayer));
+    }
+    return joined(parts, ", ");
+}
+
 void StreamForwarding::refuseWithoutChain(const ChainSituation &situation)
 {
     const bool isFull = coversAllLayers(m_context.fleet, situation);
@@ -189,7 +201,9 @@
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, isFull ? full.reason : gap.reason, firstTarget(), m_sent);
     } else {
-        refuseRequest(m_context, m_request, isFull ? full : gap, m_sent);
+        Refusal refusal = isFull ? full : gap;
+        refusal.inputs = roomText(roomByDataCenter(m_context.fleet, situation, m_demand));
+        refuseRequest(m_context, m_request, refusal, m_sent);
     }
     end();
 }
