--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -536,6 +536,39 @@
     BOOST_TEST(std::min(orders[0].layers.to, grown.to) - std::max(orders[0].layers.from, grown.from) >= 5);
 }
 
+/// Holders of the layer that has fewest.
+int fewestHolders(const EngineModel &model, const std::vector<PlacedEngine> &engines)
+{
+    std::vector<int> holders(model.layers, 0);
+    for (const PlacedEngine &engine : engines) {
+        for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
+            ++holders[layer];
+        }
+    }
+    return *std::min_element(holders.begin(), holders.end());
+}
+
+BOOST_AUTO_TEST_CASE(anEngineThatComesBackLeavesNoLayerNarrow)
+{
+    // One of two holders of a range dies and comes back empty. Given one layer less than before, it left that layer with a
+    // single holder: every chain of the data centre passes through it, and callers were refused for fifteen seconds while
+    // half of all slots and KV cache was free.
+    const EngineModel model = servedModel();
+    const std::vector<PlacedEngine> calm = [&] {
+        std::vector<PlacedEngine> engines = makeEngines("a", {{"huge", 1}, {"middle", 5}, {"small", 14}});
+        settle(model, engines);
+        return engines;
+    }();
+    BOOST_REQUIRE(fewestHolders(model, calm) == 2);
+    for (std::size_t lost = 0; lost < calm.size(); ++lost) {
+        std::vector<PlacedEngine> engines = calm;
+        engines[lost].layers = {};
+        settle(model, engines);
+        BOOST_TEST(fewestHolders(model, engines) == 2, calm[lost].id.value << " came back");
+        checkMemory(model, engines);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(randomFleetsKeepAllLayersThroughLosses)
 {
     // Twenty fleets of random kinds; a third of the engines is lost one by one. As long as the rest could hold the model
