Streams are counted with what they hold on average

Cause: each stream reserved KV cache for its prompt and its whole answer from the start, so that callers were refused for want of room that was never used: a tenth of each engine. Change: prompt and half of the answer. The share of cache that is planned for stays.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -34,6 +34,11 @@
     return std::max(0.0, freeMb / tokenLayerMb);
 }
 
+double plannedTokens(const StreamDemand &demand)
+{
+    return demand.promptTokens + demand.answerTokens / 2;
+}
+
 static std::size_t indexOf(std::vector<std::string> &names, const std::string &name)
 {
     const auto it = std::find(names.begin(), names.end(), name);
@@ -226,7 +231,7 @@
         return {};
     }
     const std::vector<int> boundaries = boundariesOf(candidates, situation);
-    const double tokens = demand.promptTokens + demand.answerTokens;
+    const double tokens = plannedTokens(demand);
     ChainTuning used = tuning;
     used.crossHopMs = tuning.mayCross ? tuning.crossHopMs : std::numeric_limits<double>::infinity();
     ChainSearch search{candidates, boundaries, dataCenters, situation, used, tokens, false};
@@ -270,7 +275,7 @@
     const ChainTuning tuning;
     std::vector<std::string> names;
     const std::vector<Candidate> candidates = makeCandidates(fleet, situation, random, tuning, names);
-    const double tokens = std::max(1.0, demand.promptTokens + demand.answerTokens);
+    const double tokens = std::max(1.0, plannedTokens(demand));
     std::vector<DataCenterRoom> rooms;
     for (std::size_t dataCenter = 0; dataCenter < names.size(); ++dataCenter) {
         rooms.push_back(roomOf(candidates, dataCenter, *situation.model, tokens, tuning));
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -32,6 +32,11 @@
     double answerTokens = 0; ///< expected; the bound that the caller gives is far above it
 };
 
+/// KV cache that a request is counted with, tokens: what it holds on average while it runs. Its prompt is there from the
+/// start, and its answer grows; of many requests at an engine some begin while others end. Counted with its whole answer
+/// from the start, each engine would stand a tenth empty while callers are refused for want of room.
+double plannedTokens(const StreamDemand &demand);
+
 /// Where and when a chain is chosen.
 struct ChainSituation {
     const EngineModel *model = nullptr; ///< of the service
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -167,7 +167,7 @@
 void StreamForwarding::reserve(int direction)
 {
     m_isReserved = direction > 0;
-    const double tokens = m_demand.promptTokens + m_demand.answerTokens;
+    const double tokens = plannedTokens(m_demand);
     for (const ChainPart &part : m_chain) {
         if (Target *target = findTarget(m_context.fleet, part.id)) {
             target->openRequests = std::max(0, target->openRequests + direction);
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -770,6 +770,31 @@
     BOOST_TEST(!coversAllLayers(builder.fleet, situation));
 }
 
+BOOST_AUTO_TEST_CASE(anEngineTakesWhatItsStreamsHoldTogether)
+{
+    // Streams of even lengths begin one after the other, so that at any time they have written half of their answers on
+    // average. Counted with whole answers, an engine refused callers while a part of its KV cache was never used. Half
+    // counted, the engine is used to the planned share at least, and what its streams really hold still fits.
+    const EngineModel model = lightModel();
+    const ChainTuning tuning;
+    FleetBuilder builder;
+    Target *target = findTarget(builder.fleet, builder.add("a", {0, 80}, "huge"));
+    const StreamDemand demand{600, 400};
+    std::mt19937_64 random(1);
+    int streams = 0;
+    while (!chooseChain(builder.fleet, situationIn(model, "a"), demand, random).empty()) {
+        target->kvTokenLayers += plannedTokens(demand) * model.layers;
+        ++streams;
+    }
+    double held = 0;
+    for (int i = 0; i < streams; ++i) {
+        held += (demand.promptTokens + demand.answerTokens * i / streams) * model.layers;
+    }
+    const double capacity = kvCapacity(model, target->listed);
+    BOOST_TEST(held <= capacity);
+    BOOST_TEST(held + 2 * plannedTokens(demand) * model.layers >= capacity * tuning.kvFillLimit);
+}
+
 BOOST_AUTO_TEST_CASE(aFirstEngineTakesNoMoreThanItsSlots)
 {
     // All streams of a data centre begin at one engine, which takes a limited number. Over it the engine refuses them, one
