Chains pass by engines that report to be slow

Cause: an engine that turns slow answers and passes events on; nothing but its report (pace) tells it from the others, and that field was not read. Change: the pace of a report is a factor on the engine's time in the choice of chains. Engines of a chain are asked for reports after a pause of more than half of what the route allows, each at most every two seconds by an entry; engines that report to be slow are asked again every second until they are not.

--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -64,7 +64,7 @@
         Candidate candidate;
         candidate.target = &target;
         const int open = target.openRequests + target.peersOpenRequests;
-        const double passMs = model.stepsPerPass * kind->stepFactor * (model.stepMs + model.stepMsPerSequence * open);
+        const double passMs = model.stepsPerPass * kind->stepFactor * target.slowness * (model.stepMs + model.stepMsPerSequence * open);
         candidate.stepMsPerLayer = passMs / model.layers * jitter(random);
         const double capacity = kvCapacity(model, target.listed) * tuning.kvFillLimit;
         const double used = target.kvTokenLayers + target.peersKvTokenLayers;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -64,6 +64,8 @@
     int peersAvoiding = 0;            ///< other entries that found it failing, as last heard
     bool needsProbe = false;          ///< gets no work before it has answered a question, besides avoidUntil
     bool isReported = false;          ///< it has told ordersAccepted itself
+    TimePoint reportedAt{};           ///< when it last reported; zero: never
+    double slowness = 1;              ///< times as long as usual for each pass, as it last reported
     bool isBusy = false;              ///< it carries out an order, as it last reported
     std::uint64_t ordersAccepted = 0; ///< orders begun since its start, as it last reported
     int openRequests = 0;             ///< of this process
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -46,6 +46,7 @@
 struct EngineReport {
     LayerRange layers;                   ///< held
     bool isBusy = false;                 ///< an order is being carried out
+    double slowness = 1;                 ///< times as long as usual for each pass
     std::uint64_t ordersAccepted = 0;    ///< orders begun since its start
     std::uint64_t startedAtMs = 0;       ///< its start, Unix milliseconds
     std::vector<StalledRequest> stalled; ///< requests that entered the chain here and wait
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -2,6 +2,8 @@
 
 #include "base/log.h"
 
+#include <algorithm>
+
 namespace Parsleytrail
 {
 
@@ -10,6 +12,9 @@
 /// For an engine that no stream has come through for a while: a stream that is moved after this time is often still on
 /// time, and an engine wrongly taken for dead costs reading some prompts anew.
 constexpr milliseconds suspectTimeout{60};
+/// Chains pass by engines that report to be slower than this, as far as they can; those are asked again until they are not.
+constexpr double noticeableSlowness = 1.2;
+constexpr milliseconds slowPoll{1000};
 
 struct EngineProber::Private {
     RelayContext &context;
@@ -54,7 +59,8 @@
 {
     const TimePoint now = context.clock.now();
     for (const auto &[id, target] : context.fleet.targets) {
-        if (target.needsProbe && now >= target.avoidUntil) {
+        const bool isSlow = target.slowness > noticeableSlowness && now - target.reportedAt >= slowPoll;
+        if (isSlow || (target.needsProbe && now >= target.avoidUntil)) {
             ask(id, probeTimeout);
         }
     }
@@ -107,6 +113,8 @@
     }
     noteAnswer(target);
     target.isReported = true;
+    target.slowness = std::max(1.0, report.slowness);
+    target.reportedAt = context.clock.now();
     const bool isNewer = report.ordersAccepted >= target.ordersAccepted || report.startedAtMs > target.listed.startedAtMs;
     if (isNewer) {
         target.listed.layers = report.layers;
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -43,6 +43,8 @@
 constexpr double stallFactor = 1.9;
 /// How often a stalled stream's first engine is asked again.
 constexpr milliseconds stallQuestionInterval{250};
+/// A report is not asked for again before: engines are slow for seconds, and every entry asks.
+constexpr milliseconds usefulReport{2000};
 /// After this many stall times without an event, the stream is moved though nobody knows which engine is at fault.
 constexpr int stallsUntilMove = 4;
 /// When layers without a holder are expected to be loaded again: an order, a load of some layers, and the report of it.
@@ -94,6 +96,7 @@
     void takeBody(std::string &body) override;
     void takeEvents(std::string &body);
     void passEvent(const StreamEvent &event);
+    void askWhoIsSlow(TimePoint now);
     void takeEnd() override;
     void takeRefusal(const HttpHead &head);
     void noteRefusedPart(const TargetId &id, int status);
@@ -320,6 +323,7 @@
     } else {
         m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<milliseconds>(now - m_eventAt));
         const double gap = std::chrono::duration<double>(now - m_eventAt).count();
+        askWhoIsSlow(now);
         m_context.metrics.eventGap.record(gap);
         constexpr double newShare = 0.02; // an average over the last fifty events: a second or less
         m_context.usualGapMs += newShare * (std::min(gap * 1000, maxUsualGapMs) - m_context.usualGapMs);
@@ -334,6 +338,24 @@
     ++m_context.metrics.events;
 }
 
+/// Asks the engines of the chain for reports after a pause of more than half of what the route allows.
+///
+/// An engine that turned slow answers and passes events on, so that nothing else tells it from the others; all streams that
+/// pass through it are late. Once it has reported how slow it is, new chains pass by it.
+void StreamForwarding::askWhoIsSlow(TimePoint now)
+{
+    const milliseconds allowed = m_request.route->targetGap;
+    if (allowed <= milliseconds(0) || now - m_eventAt <= allowed / 2) {
+        return;
+    }
+    for (const ChainPart &part : m_chain) {
+        const Target *target = findTarget(m_context.fleet, part.id);
+        if (target && now - target->reportedAt >= usefulReport) {
+            m_hooks.askEngine(part.id);
+        }
+    }
+}
+
 void StreamForwarding::takeEnd()
 {
     const HttpHead &head = m_exchange->head();
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -752,6 +752,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(chainsPassBySlowEngines)
+{
+    // An engine turns twelve times slower. It answers and passes events on, so that streams through it are late to the end;
+    // half of all chains went on beginning there, though another engine holds the same layers. It is left alone, but for a
+    // fleet that has no other holder with room.
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId slow = builder.add("a", {0, 40}, "huge");
+    const TargetId other = builder.add("a", {0, 40}, "huge");
+    builder.add("a", {40, 80}, "huge");
+    findTarget(builder.fleet, slow)->slowness = 12;
+    findTarget(builder.fleet, other)->openRequests = 100;
+    std::mt19937_64 random(1);
+    const ChainSituation situation = situationIn(model, "a");
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((chooseChain(builder.fleet, situation, {100, 50}, random)[0].id == other));
+    }
+    noteRemoved(builder.fleet, other);
+    BOOST_TEST((chooseChain(builder.fleet, situation, {100, 50}, random)[0].id == slow));
+}
+
 BOOST_AUTO_TEST_CASE(fullEnginesAndFailedOnesAreLeftOut)
 {
     const EngineModel model = lightModel();
