A key whose use nobody can tell is not called not-run

Cause: with the store away an entry can't tell whether a key was used and hands nothing over; it answered 503 with outcome not-run. The first call with the key had run at another entry, its answer was lost, and the caller was told that nothing ran. Ruled out: the hand-over to the application (the history has one run); the rename in the sidecar. Change: 502 with outcome unknown and Retry-After.

--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -386,8 +386,10 @@
     case KeyVerdict::Unknown:
         return refuseWith({502, "", "the first call with this key may have been run; its answer is not known, or too long to be kept", Outcome::Unknown});
     case KeyVerdict::Unavailable:
-        ++notRun;
-        return refuseWith({503, "", "the platform's table service is away, so that nobody can tell whether this key was used", Outcome::NotRun, 2});
+        // This call is not handed over, but an earlier one with the key may have run: told not-run, its caller would take it
+        // that nothing was done.
+        ++unknown;
+        return refuseWith({502, "", "the platform's table service is away, so that nobody can tell whether this key was used", Outcome::Unknown, 2});
     }
 }
 
