--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -182,6 +182,7 @@
 static std::string roomText(const std::vector<DataCenterRoom> &rooms)
 {
     std::vector<std::string> parts;
+    parts.reserve(rooms.size());
     for (const DataCenterRoom &room : rooms) {
         parts.push_back(
             absl::StrCat(room.dataCenter, " engines ", room.engines, " slots ", room.slots, " streams ", room.streams, " at layer ", room.narrowestLayer));
