One token bucket, one chain search, one main of stand-ins: what the change had written twice

Decisions stay as they are; no test lost an assertion. - CrossingBudget was RateBudget of budget.h once more: refill() is now a function of the latter and serves both. - A stream that waited for a chain looked for it twice; it goes on through the one it found.

--- a/src/policy/budget.cpp
+++ b/src/policy/budget.cpp
@@ -5,7 +5,7 @@
 namespace Parsleytrail
 {
 
-bool tryTake(RateBudget &budget, TimePoint now)
+void refill(RateBudget &budget, TimePoint now)
 {
     if (budget.filledAt == TimePoint{}) {
         budget.tokens = budget.burst;
@@ -14,6 +14,11 @@
     const std::chrono::duration<double> passed = now - budget.filledAt;
     budget.tokens = std::min(budget.burst, budget.tokens + passed.count() * budget.perSecond);
     budget.filledAt = now;
+}
+
+bool tryTake(RateBudget &budget, TimePoint now)
+{
+    refill(budget, now);
     if (budget.tokens < 1) {
         return false;
     }
--- a/src/policy/budget.h
+++ b/src/policy/budget.h
@@ -16,6 +16,8 @@
     double tokens = 0;    ///< held now; starts at burst after the first call
     TimePoint filledAt{}; ///< time of the last refill; zero: never
 };
+/// Adds what has come since the last refill.
+void refill(RateBudget &budget, TimePoint now);
 /// Takes one token; false if there is none.
 bool tryTake(RateBudget &budget, TimePoint now);
 
--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -63,7 +63,7 @@
         }
         Candidate candidate;
         candidate.target = &target;
-        const int open = target.openRequests + target.peersOpenRequests;
+        const int open = allOpenRequests(target);
         const double passMs = model.stepsPerPass * kind->stepFactor * target.slowness * (model.stepMs + model.stepMsPerSequence * open);
         candidate.stepMsPerLayer = passMs / model.layers * jitter(random);
         const double capacity = kvCapacity(model, target.listed) * tuning.kvFillLimit;
@@ -113,7 +113,10 @@
         if (boundary == 0) {
             return dataCenters[candidate.dataCenter] == situation.dataCenter ? 0 : tuning.remoteStartMs;
         }
-        return before == candidate.dataCenter ? tuning.hopMs : tuning.crossHopMs;
+        if (before == candidate.dataCenter) {
+            return tuning.hopMs;
+        }
+        return tuning.mayCross ? tuning.crossHopMs : std::numeric_limits<double>::infinity();
     }
     /// Whether a running request may take this part; the first one it has must stay as it is.
     bool isAllowed(const TargetId &id, const LayerRange &layers) const
@@ -214,8 +217,8 @@
 {
     std::vector<bool> isHeld(layers, false);
     for (const Candidate &candidate : candidates) {
-        const LayerRange &held = candidate.target->listed.layers;
-        for (int layer = std::max(held.from, 0); layer < std::min(held.to, layers); ++layer) {
+        const LayerRange held = candidate.target->listed.layers.within(layers);
+        for (int layer = held.from; layer < held.to; ++layer) {
             isHeld[layer] = true;
         }
     }
@@ -232,9 +235,7 @@
     }
     const std::vector<int> boundaries = boundariesOf(candidates, situation);
     const double tokens = plannedTokens(demand);
-    ChainTuning used = tuning;
-    used.crossHopMs = tuning.mayCross ? tuning.crossHopMs : std::numeric_limits<double>::infinity();
-    ChainSearch search{candidates, boundaries, dataCenters, situation, used, tokens, false};
+    ChainSearch search{candidates, boundaries, dataCenters, situation, tuning, tokens, false};
     search.run();
     std::vector<ChainPart> chain = search.bestChain();
     if (hasRepeatedEngine(chain)) {
@@ -257,9 +258,10 @@
             continue;
         }
         ++room.engines;
-        const int open = candidate.target->openRequests + candidate.target->peersOpenRequests;
+        const int open = allOpenRequests(*candidate.target);
         room.slots += listed.layers.from == 0 ? std::max(0, static_cast<int>(listed.slots * tuning.slotLimit) - open) : 0;
-        for (int layer = std::max(listed.layers.from, 0); layer < std::min(listed.layers.to, model.layers); ++layer) {
+        const LayerRange held = listed.layers.within(model.layers);
+        for (int layer = held.from; layer < held.to; ++layer) {
             streams[layer] += std::max(0.0, candidate.kvRoom / (tokens * listed.layers.count()));
         }
     }
--- a/src/policy/crossing.cpp
+++ b/src/policy/crossing.cpp
@@ -5,25 +5,24 @@
 namespace Parsleytrail
 {
 
-CrossingBudget makeCrossingBudget(const EngineModel &model, int entries)
+RateBudget makeCrossingBudget(const EngineModel &model, int entries)
 {
     constexpr double bytesPerMbit = 1e6 / 8;
-    CrossingBudget budget;
-    budget.bytesPerSecond = model.pipeMbps * bytesPerMbit * pipeUse / std::max(entries, 1);
+    RateBudget budget;
+    budget.perSecond = model.pipeMbps * bytesPerMbit * pipeUse / std::max(entries, 1);
+    budget.burst = budget.perSecond * longestSaving.count();
     return budget;
 }
 
-bool mayCross(CrossingBudget &budget, TimePoint now)
+bool mayCross(RateBudget &budget, TimePoint now)
 {
-    const std::chrono::duration<double> passed = budget.filledAt == TimePoint() ? longestSaving : now - budget.filledAt;
-    budget.bytes = std::min(budget.bytes + passed.count() * budget.bytesPerSecond, longestSaving.count() * budget.bytesPerSecond);
-    budget.filledAt = now;
-    return budget.bytes > 0 || budget.bytesPerSecond <= 0;
+    refill(budget, now);
+    return budget.tokens > 0 || budget.perSecond <= 0;
 }
 
-void noteCrossing(CrossingBudget &budget, double bytes)
+void noteCrossing(RateBudget &budget, double bytes)
 {
-    budget.bytes -= bytes;
+    budget.tokens -= bytes;
 }
 
 double crossingBytes(const Fleet &fleet, const EngineModel &model, const std::vector<ChainPart> &chain, const StreamDemand &demand)
--- a/src/policy/crossing.h
+++ b/src/policy/crossing.h
@@ -4,7 +4,7 @@
 // prompt and answer then cross a pipe that all data centres share. Over its capacity every stream that crosses waits for
 // all others, and the KV cache that they hold meanwhile fills the engines at both ends: a full fleet becomes a stalled one.
 //
-//     CrossingBudget budget = makeCrossingBudget(model, entries);
+//     RateBudget budget = makeCrossingBudget(model, entries);
 //     if (mayCross(budget, now)) ... chooseChain(), then noteCrossing(budget, crossingBytes(...));
 //
 // Pure: the caller passes the time in.
@@ -21,18 +21,12 @@
 /// Unused capacity that is saved up, as a time of refill.
 constexpr std::chrono::duration<double> longestSaving{1.0};
 
-/// This entry's part of the pipe between data centres.
-struct CrossingBudget {
-    double bytesPerSecond = 0; ///< refill; 0: the pipe's capacity is not known, and crossing is not limited
-    double bytes = 0;          ///< that may cross now; negative while what crossed last is paid back
-    TimePoint filledAt{};      ///< time of the last refill; zero: never
-};
-
-/// The part of one of `entries` that share the pipe evenly, as they do not coordinate.
-CrossingBudget makeCrossingBudget(const EngineModel &model, int entries);
+/// The part of one of `entries` that share the pipe evenly, as they do not coordinate. Its tokens are bytes; below zero
+/// while what crossed last is paid back. Without a known capacity it has no rate, and crossing is not limited.
+RateBudget makeCrossingBudget(const EngineModel &model, int entries);
 /// Whether anything is left. What a chain takes may be more than that: it is paid back before the next one.
-bool mayCross(CrossingBudget &budget, TimePoint now);
-void noteCrossing(CrossingBudget &budget, double bytes);
+bool mayCross(RateBudget &budget, TimePoint now);
+void noteCrossing(RateBudget &budget, double bytes);
 
 /// Activations that a request sends between data centres on this chain, bytes; 0 for a chain inside one.
 double crossingBytes(const Fleet &fleet, const EngineModel &model, const std::vector<ChainPart> &chain, const StreamDemand &demand);
--- a/src/policy/employment.cpp
+++ b/src/policy/employment.cpp
@@ -29,7 +29,8 @@
             continue;
         }
         const double room = streamsOfEngine(model, engine, engine.layers.count());
-        for (int layer = std::max(engine.layers.from, 0); layer < std::min(engine.layers.to, model.layers); ++layer) {
+        const LayerRange held = engine.layers.within(model.layers);
+        for (int layer = held.from; layer < held.to; ++layer) {
             streams[layer] += streamsAtLayer(model, room, layer);
         }
     }
@@ -47,6 +48,11 @@
 /// share: one layer left out of a narrow stretch holds all chains back as much as the whole stretch did.
 static LayerRange neediestRange(const EngineModel &model, const PlacedEngine &engine, const std::vector<double> &streams, const PlacementTuning &tuning)
 {
+    std::vector<double> needs;
+    needs.reserve(streams.size());
+    for (const double room : streams) {
+        needs.push_back(needOf(room));
+    }
     LayerRange best;
     double bestRelief = 0;
     const int most = layersThatFit(model, engine, tuning.emergencyShare);
@@ -55,7 +61,7 @@
         std::vector<double> reliefs = {0}; // sums over the layers below each
         for (int layer = 0; layer < model.layers; ++layer) {
             const double relieved = needOf(streams[layer] + streamsAtLayer(model, room, layer));
-            reliefs.push_back(reliefs.back() + needOf(streams[layer]) - relieved);
+            reliefs.push_back(reliefs.back() + needs[layer] - relieved);
         }
         for (int from = 0; from + count <= model.layers; ++from) {
             const double relief = reliefs[from + count] - reliefs[from];
--- a/src/policy/engine_group.cpp
+++ b/src/policy/engine_group.cpp
@@ -60,7 +60,8 @@
         if (engine.isLeaving) {
             continue;
         }
-        for (int layer = std::max(engine.layers.from, 0); layer < std::min(engine.layers.to, model.layers); ++layer) {
+        const LayerRange held = engine.layers.within(model.layers);
+        for (int layer = held.from; layer < held.to; ++layer) {
             ++copies[layer];
         }
     }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -61,6 +61,11 @@
     return found;
 }
 
+int allOpenRequests(const Target &target)
+{
+    return target.openRequests + target.peersOpenRequests;
+}
+
 bool isUsable(const Target &target, TimePoint now)
 {
     return !target.listed.isDraining && !target.needsProbe && now >= target.avoidUntil;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -35,6 +35,11 @@
     {
         return from <= other.from && other.to <= to;
     }
+    /// The part of it that a model with `layers` layers has: what engines report may be wrong. Empty or less if there is none.
+    LayerRange within(int layers) const
+    {
+        return {from < 0 ? 0 : from, to > layers ? layers : to};
+    }
 };
 
 /// What the registry says of a target.
@@ -89,6 +94,8 @@
 const Target *findTarget(const Fleet &fleet, const TargetId &id);
 /// The target at an address; null if none is listed there. Of several the last started.
 Target *findTargetAt(Fleet &fleet, const Address &address);
+/// Requests open at it, of this entry and of the others as last heard.
+int allOpenRequests(const Target &target);
 /// Whether new work may be sent to it.
 bool isUsable(const Target &target, TimePoint now);
 
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -86,7 +86,7 @@
         if (target.listed.service != m_request.service->name || target.listed.isDraining || isAsked) {
             continue;
         }
-        const double open = target.openRequests + target.peersOpenRequests;
+        const double open = allOpenRequests(target);
         constexpr double remoteCost = 0.3;  // less than two more requests on a target of six slots
         constexpr double avoidedCost = 100; // only if there is no other
         double cost = open / std::max(target.listed.slots, 1) + jitter(m_context.random);
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -1,6 +1,7 @@
 #include "relay/context.h"
 
 #include "base/log.h"
+#include "policy/crossing.h"
 
 #include <algorithm>
 
@@ -57,11 +58,12 @@
     noteRequest(budgetOf(context, service));
 }
 
-CrossingBudget &crossingBudget(RelayContext &context, const ServiceSpec &service)
+RateBudget &crossingBudget(RelayContext &context, const ServiceSpec &service)
 {
-    const CrossingBudget fresh = makeCrossingBudget(*service.engine, context.liveEntries);
-    CrossingBudget &budget = context.crossingBudgets[service.name];
-    budget.bytesPerSecond = fresh.bytesPerSecond;
+    const RateBudget newest = makeCrossingBudget(*service.engine, context.liveEntries);
+    RateBudget &budget = context.crossingBudgets[service.name];
+    budget.perSecond = newest.perSecond;
+    budget.burst = newest.burst;
     return budget;
 }
 
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -4,7 +4,6 @@
 #include "base/metrics.h"
 #include "generated/settings.h"
 #include "policy/budget.h"
-#include "policy/crossing.h"
 #include "policy/fleet.h"
 #include "policy/routes.h"
 #include "relay/dialect.h"
@@ -45,7 +44,7 @@
     Fleet fleet{};
     std::shared_ptr<const RouteTable> routes{}; ///< in force; null until one is known
     std::unordered_map<ServiceName, RetryBudget> retryBudgets{};
-    std::unordered_map<ServiceName, CrossingBudget> crossingBudgets{};
+    std::unordered_map<ServiceName, RateBudget> crossingBudgets{};
     std::mt19937_64 random{}; ///< seeded by the id and the start, so that a run can be repeated
     RelayMetrics metrics{};
     double usualGapMs = 50; ///< moving average of the time between two events of a stream
@@ -63,8 +62,8 @@
 /// Counts a request towards the budget.
 void noteRequest(RelayContext &context, const ServiceName &service);
 
-/// This entry's part of the pipe between the data centres of a service; made anew when the configuration changes it.
-CrossingBudget &crossingBudget(RelayContext &context, const ServiceSpec &service);
+/// This entry's part of the pipe between the data centres of a service, at the rate of the newest configuration.
+RateBudget &crossingBudget(RelayContext &context, const ServiceSpec &service);
 
 /// Avoids a target after a failure, and logs it.
 void avoidTarget(RelayContext &context, const TargetId &id, std::string_view reason);
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -24,7 +24,7 @@
     std::set<TargetId> asked{}; ///< answers awaited
 
     void ask(const TargetId &id, milliseconds timeout);
-    void askFailed();
+    void askDue();
     void takeAnswer(const TargetId &id, const HttpResult &result);
     void takeReport(Target &target, const EngineReport &report);
     void noteDead(const TargetId &id, const std::string &reason);
@@ -34,7 +34,7 @@
     : d(std::make_unique<Private>(Private{context, client, std::move(handlers)}))
 {
     d->tick = std::make_unique<Timer>(context.loop, [this] {
-        d->askFailed();
+        d->askDue();
     });
 }
 
@@ -55,7 +55,7 @@
     d->ask(id, suspectTimeout);
 }
 
-void EngineProber::Private::askFailed()
+void EngineProber::Private::askDue()
 {
     const TimePoint now = context.clock.now();
     for (const auto &[id, target] : context.fleet.targets) {
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -3,6 +3,7 @@
 
 #include "base/log.h"
 #include "base/text.h"
+#include "policy/crossing.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -85,6 +86,7 @@
     ChainSituation situationNow() const;
     std::vector<ChainPart> findChain(const ChainSituation &situation);
     void startAttempt();
+    void startThrough(std::vector<ChainPart> chain);
     bool startMove();
     bool isChainBroken(TimePoint now) const;
     void takeMove(bool isMoved, int move, const std::vector<ChainPart> &before);
@@ -192,23 +194,22 @@
 
 void StreamForwarding::refuseWithoutChain(const ChainSituation &situation)
 {
-    const bool isFull = coversAllLayers(m_context.fleet, situation);
-    std::uniform_int_distribution<std::int64_t> spread(0, roomRetrySpread.count());
-    const Refusal full{"no-room", roomRetryAfter + milliseconds(spread(m_context.random))};
-    const Refusal gap{"no-chain", gapRetryAfter + milliseconds(spread(m_context.random)) / 2};
-    if (m_mayHaveRun && m_context.clock.now() - m_eventAt < longestCallerPause) {
+    if (m_mayHaveRun && situation.now - m_eventAt < longestCallerPause) {
         // The caller has a part of its answer and waits for the rest; a gap is often filled in this time.
         m_isWaitingForChain = true;
         m_chain.clear();
         return;
     }
+    const bool isFull = coversAllLayers(m_context.fleet, situation);
+    const std::string_view reason = isFull ? "no-room" : "no-chain";
     if (m_mayHaveRun) {
-        failRequest(m_context, m_request, isFull ? full.reason : gap.reason, firstTarget(), m_sent);
-    } else {
-        Refusal refusal = isFull ? full : gap;
-        refusal.inputs = roomText(roomByDataCenter(m_context.fleet, situation, m_demand));
-        refuseRequest(m_context, m_request, refusal, m_sent);
+        failRequest(m_context, m_request, reason, firstTarget(), m_sent);
+        return end();
     }
+    std::uniform_int_distribution<std::int64_t> spread(0, roomRetrySpread.count());
+    const milliseconds more(spread(m_context.random));
+    const milliseconds retryAfter = isFull ? roomRetryAfter + more : gapRetryAfter + more / 2;
+    refuseRequest(m_context, m_request, {reason, retryAfter, roomText(roomByDataCenter(m_context.fleet, situation, m_demand))}, m_sent);
     end();
 }
 
@@ -238,15 +239,22 @@
 
 void StreamForwarding::startAttempt()
 {
-    m_isWaitingForChain = false;
-    m_leavingSince = TimePoint();
     const ChainSituation situation = situationNow();
     std::vector<ChainPart> chain = findChain(situation);
     if (chain.empty()) {
         return refuseWithoutChain(situation);
     }
+    startThrough(std::move(chain));
+}
+
+void StreamForwarding::startThrough(std::vector<ChainPart> chain)
+{
+    const TimePoint now = m_context.clock.now();
+    m_isWaitingForChain = false;
+    m_leavingSince = TimePoint();
     m_chain = std::move(chain);
-    noteCrossing(crossingBudget(m_context, *m_request.service), crossingBytes(m_context.fleet, *situation.model, m_chain, m_demand));
+    const ServiceSpec &service = *m_request.service;
+    noteCrossing(crossingBudget(m_context, service), crossingBytes(m_context.fleet, *service.engine, m_chain, m_demand));
     reserve(+1);
     const HeaderNames &names = m_context.dialect.headers();
     std::vector<AddedField> added = {{names.chain, m_context.dialect.encodeChain(m_chain)}};
@@ -257,8 +265,8 @@
     m_isStream = false;
     m_hasEvents = false;
     m_sawGap = false;
-    m_progressAt = situation.now;
-    m_askedAt = situation.now;
+    m_progressAt = now;
+    m_askedAt = now;
     sendTo(m_chain.front().id, m_chain.front().address, added);
 }
 
@@ -420,7 +428,7 @@
                                   {"target", id.value},
                                   {"status", std::to_string(status)},
                                   {"refusals", std::to_string(target->refusalsInRow)},
-                                  {"open", std::to_string(target->openRequests + target->peersOpenRequests)}});
+                                  {"open", std::to_string(allOpenRequests(*target))}});
     m_hooks.askEngine(id);
 }
 
@@ -594,9 +602,9 @@
     }
     m_waitedAt = now;
     // Looking costs nothing; a retry is taken only for a chain that is there.
-    const bool hasChain = !findChain(situationNow()).empty();
-    if (hasChain && tryRetry(m_context, m_request.service->name)) {
-        startAttempt();
+    std::vector<ChainPart> chain = findChain(situationNow());
+    if (!chain.empty() && tryRetry(m_context, m_request.service->name)) {
+        startThrough(std::move(chain));
     }
 }
 
--- a/stand-ins/application_main.cpp
+++ b/stand-ins/application_main.cpp
@@ -1,11 +1,6 @@
 // stand-in-application: the booking application's stand-in as a process.
 #include "stand-ins/application.h"
-#include "stand-ins/process.h"
-
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "host:port");
+#include "stand-ins/listening_program.h"
 
 using namespace Parsleytrail;
 
@@ -18,13 +13,5 @@
 
 int main(int argc, char **argv)
 {
-    if (StandIn::printHelp(argc, argv, helpText)) {
-        return 0;
-    }
-    absl::ParseCommandLine(argc, argv);
-    EventLoop loop;
-    StandIn::Application application(loop);
-    return StandIn::runListening(loop, absl::GetFlag(FLAGS_listen), [&application](const Address &address) {
-        return application.listen(address);
-    });
+    return StandIn::runListeningProgram<StandIn::Application>(argc, argv, helpText);
 }
--- /dev/null
+++ b/stand-ins/listening_program.h
@@ -0,0 +1,32 @@
+// The main function of stand-ins that listen on one address.
+//
+//     int main(int argc, char **argv)
+//     {
+//         return StandIn::runListeningProgram<StandIn::Platform>(argc, argv, helpText);
+//     }
+#pragma once
+
+#include "stand-ins/process.h"
+
+namespace Parsleytrail::StandIn
+{
+
+/// Reads the command line; returns the value of --listen, HOST:PORT.
+std::string parseListenAddress(int argc, char **argv);
+
+/// Prints the help, or runs a server until a signal. Returns the exit status.
+template<typename Server>
+int runListeningProgram(int argc, char **argv, const char *helpText)
+{
+    if (printHelp(argc, argv, helpText)) {
+        return 0;
+    }
+    const std::string address = parseListenAddress(argc, argv);
+    EventLoop loop;
+    Server server(loop);
+    return runListening(loop, address, [&server](const Address &wanted) {
+        return server.listen(wanted);
+    });
+}
+
+} // namespace Parsleytrail::StandIn
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -30,6 +30,16 @@
     return engines;
 }
 
+/// An engine of the middle kind in data centre "a" that holds nothing.
+PlacedEngine emptyEngine(const std::string &id)
+{
+    PlacedEngine engine;
+    engine.id = {id};
+    engine.dataCenter = "a";
+    engine.kind = "middle";
+    return engine;
+}
+
 void carryOut(std::vector<PlacedEngine> &engines, const std::vector<PlacementOrder> &orders)
 {
     for (const PlacementOrder &order : orders) {
@@ -58,6 +68,18 @@
         BOOST_TEST(engine.layers.count() * model.layerMb <= findKind(model, engine.kind)->memoryMb);
     }
 }
+/// Holders of the layer that has fewest.
+int fewestHolders(const EngineModel &model, const std::vector<PlacedEngine> &engines)
+{
+    std::vector<int> holders(model.layers, 0);
+    for (const PlacedEngine &engine : engines) {
+        for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
+            ++holders[layer];
+        }
+    }
+    return *std::min_element(holders.begin(), holders.end());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PlacementTest)
@@ -115,12 +137,8 @@
     settle(model, engines);
     const LayerRange gap = engines[5].layers;
     engines[5].isLeaving = true;
-    PlacedEngine newcomer;
-    newcomer.id = {"a-new"};
-    newcomer.dataCenter = "a";
-    newcomer.kind = "middle";
-    newcomer.isNew = true;
-    engines.push_back(newcomer);
+    engines.push_back(emptyEngine("a-new"));
+    engines.back().isNew = true;
     const std::vector<PlacementOrder> orders = planPlacement(model, engines);
     BOOST_REQUIRE(orders.size() == 1U);
     BOOST_TEST(orders[0].id.value == "a-new");
@@ -134,12 +152,8 @@
     const EngineModel model = largeModel();
     std::vector<PlacedEngine> engines = makeEngines("a", {{"middle", 12}});
     settle(model, engines);
-    PlacedEngine newcomer;
-    newcomer.id = {"a-new"};
-    newcomer.dataCenter = "a";
-    newcomer.kind = "middle";
-    newcomer.isNew = true;
-    engines.push_back(newcomer);
+    engines.push_back(emptyEngine("a-new"));
+    engines.back().isNew = true;
     BOOST_TEST(planPlacement(model, engines).empty());
     engines.back().isNew = false;
     BOOST_TEST(planPlacement(model, engines).size() == 1U);
@@ -190,13 +204,7 @@
     EngineModel model = servedModel();
     std::vector<PlacedEngine> large = makeEngines("a", {{"huge", 1}, {"large", 1}, {"middle", 8}, {"small", 10}});
     carryOut(large, planPlacement(model, large));
-    std::vector<int> copies(model.layers, 0);
-    for (const PlacedEngine &engine : large) {
-        for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
-            ++copies[layer];
-        }
-    }
-    BOOST_TEST(*std::min_element(copies.begin(), copies.end()) == 2);
+    BOOST_TEST(fewestHolders(model, large) == 2);
     checkMemory(model, large);
 
     model.kvTokenBytes = 590000;
@@ -319,29 +327,13 @@
     PlacedEngine &full = engineHolding(engines, {40, 41});
     const LayerRange grown{full.layers.from, full.layers.from + 11};
     full.layers = grown;
-    PlacedEngine returned;
-    returned.id = {"a-returned"};
-    returned.dataCenter = "a";
-    returned.kind = "middle";
-    engines.push_back(returned);
+    engines.push_back(emptyEngine("a-returned"));
     const std::vector<PlacementOrder> orders = planPlacement(model, engines);
     BOOST_REQUIRE(orders.size() == 1U);
     BOOST_TEST(orders[0].id.value == "a-returned");
     BOOST_TEST(std::min(orders[0].layers.to, grown.to) - std::max(orders[0].layers.from, grown.from) >= 5);
 }
 
-/// Holders of the layer that has fewest.
-int fewestHolders(const EngineModel &model, const std::vector<PlacedEngine> &engines)
-{
-    std::vector<int> holders(model.layers, 0);
-    for (const PlacedEngine &engine : engines) {
-        for (int layer = engine.layers.from; layer < engine.layers.to; ++layer) {
-            ++holders[layer];
-        }
-    }
-    return *std::min_element(holders.begin(), holders.end());
-}
-
 BOOST_AUTO_TEST_CASE(anEngineThatComesBackLeavesNoLayerNarrow)
 {
     // One of two holders of a range dies and comes back empty. Given one layer less than before, it left that layer with a
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -40,6 +40,14 @@
     return count;
 }
 
+/// Sends a keyed booking again until it is answered.
+void waitAnswered(Cluster &cluster, const std::string &key, std::size_t entry)
+{
+    cluster.wait("the key to be answered", [&] {
+        return cluster.send(keyedBooking(key), entry).status == 201;
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(services)
@@ -319,11 +327,7 @@
     BOOST_TEST(findHeader(again.headers, "Retry-After") == "2");
     BOOST_TEST(bookingsRun(cluster) == 1u);
     cluster.platform.faults().isDown = false;
-    HttpResult later;
-    cluster.wait("the first answer", [&] {
-        later = cluster.send(keyedBooking("k1"), 1);
-        return later.status == 201;
-    });
+    waitAnswered(cluster, "k1", 1);
     BOOST_TEST(bookingsRun(cluster) == 1u);
 }
 
@@ -339,11 +343,7 @@
     BOOST_TEST(cluster.send(post("/services/booking/bookings", R"({"wheel": "w1"})")).status == 201);
     BOOST_TEST(bookingsRun(cluster) == 1u);
     cluster.platform.faults().isDown = false;
-    HttpResult later;
-    cluster.wait("the key to be taken again", [&] {
-        later = cluster.send(keyedBooking("k1"), 0);
-        return later.status == 201;
-    });
+    waitAnswered(cluster, "k1", 0);
     BOOST_TEST(bookingsRun(cluster) == 2u);
 }
 
