A stopped loop leaves no connection open behind it

The log was thrown away, so the test tells its last words now. Ruled out: connections that callers close while they are answered; the server's own list. Not only memory: the peer sees the connection stay open as long as the process lives. Change: the loop runs one turn before it is freed. All daemons share it.

--- a/src/wire/event_loop.cpp
+++ b/src/wire/event_loop.cpp
@@ -61,6 +61,9 @@
         event_free(signal.handle);
     }
     d->deferred.clear();
+    // A connection that is freed while its event waits for its turn is closed in that turn only. Without one its peer sees
+    // it stay open and its memory is never freed; the events that a stopped loop left are all run by one turn.
+    event_base_loop(d->base, EVLOOP_NONBLOCK);
     event_free(d->wake);
     event_base_free(d->base);
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,4 +1,5 @@
 // What callers may send by mistake or on purpose: each gets a clear answer, and nothing else is disturbed.
+#include "http/server.h"
 #include "tests/cluster.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -10,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <arpa/inet.h>
+#include <unistd.h>
 
 using namespace Parsleytrail;
 using namespace Parsleytrail::Test;
@@ -51,6 +53,18 @@
     return text;
 }
 
+/// A blocking connection.
+int connectTo(const Address &address)
+{
+    const int result = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
+    BOOST_REQUIRE(connect(result, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0);
+    return result;
+}
+
 /// The system still answers a question.
 void checkAlive(Cluster &cluster)
 {
@@ -240,6 +254,42 @@
     BOOST_TEST(answer.find("X-Request-Id: second") > first);
 }
 
+BOOST_AUTO_TEST_CASE(a_loop_that_is_stopped_in_its_turn_leaves_no_connection_open)
+{
+    // A process is asked to end while several of its callers' connections have something to be read. The loop stops after
+    // the first; the server is destroyed, and then the loop. Each caller sees its connection end, also where the process
+    // goes on without the loop.
+    constexpr std::size_t count = 8;
+    std::vector<int> sockets;
+    {
+        EventLoop loop;
+        HttpServer server(loop, {}, [&loop](const ExchangePtr &) {
+            loop.stop();
+        });
+        const Address address = server.listen({"127.0.0.1", 0}).value();
+        while (sockets.size() < count) {
+            sockets.push_back(connectTo(address));
+            send(sockets.back(), "GET / HT", 8, 0);
+        }
+        loop.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(50));
+        for (std::size_t i = 0; i < count; ++i) {
+            send(sockets[i], "TP/1.1\r\n\r\n", 12, 0);
+        }
+        loop.run();
+    }
+    for (const int socket : sockets) {
+        char byte = 0;
+        const ssize_t taken = recv(socket, &byte, 1, MSG_DONTWAIT);
+        const bool isEnded = taken == 0 || (taken < 0 && errno == ECONNRESET);
+        BOOST_TEST(isEnded);
+        close(socket);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(operators_port_wants_its_credential)
 {
     Cluster cluster;
--- a/tests/process_test.py
+++ b/tests/process_test.py
@@ -52,7 +52,7 @@
             # Whatever is left must end cleanly: a crash at the end hides in no log.
             for name, process in running.processes.items():
                 if process.popen.poll() is None and name not in ("platform",):
-                    self.assertEqual(process.stop(30), 0, f"{name} did not end cleanly")
+                    self.assertEqual(process.stop(30), 0, f"{name} did not end cleanly:\n{process.last_words()}")
             return result
 
     def test_sidecars_are_killed_under_load(self):
--- a/tools/system.py
+++ b/tools/system.py
@@ -54,7 +54,11 @@
             if self.popen.poll() is not None:
                 break
             time.sleep(0.01)
-        raise RuntimeError(f"{self.name}: no {pattern!r} in its log:\n{self.log.read_text(errors='replace')[-2000:]}")
+        raise RuntimeError(f"{self.name}: no {pattern!r} in its log:\n{self.last_words()}")
+
+    def last_words(self):
+        """The end of what the process wrote."""
+        return self.log.read_text(errors="replace")[-4000:]
 
     def memory_bytes(self):
         """Resident memory; private pages only, since libraries are shared by all processes of the machine."""
