What is slow is not stuck: entries beside load keep their engines

Cause, by a reason added to the log ("no progress: ..."): of some 4,000 replacements a run about half were engines with inputs not applied, a third sidecars that did not answer within 250 ms, a tenth frames "not received" that were on their way; then all targets silent at once, because the entry itself had not read for over a second. Each replaced stream made the next engine slower, until no chain was left. Ruled out: longer timeouts (hangs would be found later), a timeout that follows the times of answers (tried: 2,116 to 6,320 replacements a run, the burst comes before anything is learned; not kept).

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "entry/caller_api.h"
 #include "entry/operator_api.h"
+#include "policy/progress.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,6 +50,7 @@
     Timer announceTimer;
     Timer pollTimer;
     Timer drainTimer;
+    TimePoint tickedAt{};
     TimePoint drainStartedAt{};
     TimePoint idleSince{}; ///< no request open, and something to write; zero otherwise
     TimePoint nextSidecarAnnounce{};
@@ -330,8 +332,13 @@
 
 void Entry::Private::tick()
 {
-    targets->tick();
-    peers->tick();
+    const TimePoint now = clock.now();
+    // A process that was stopped or starved finds everybody silent before it has read what they sent. Taken for silence, it
+    // would give up every stream that it has open, and refuse new ones.
+    const milliseconds stall = stallBefore(tickedAt, now, tickInterval);
+    tickedAt = now;
+    targets->tick(stall);
+    peers->tick(stall);
     streams->tick();
     calls->tick();
     keys->flush();
@@ -468,7 +475,7 @@
     d->announceTimer.startRepeating(d->settings.announceInterval);
     d->pollTimer.startRepeating(d->settings.configurationPoll);
     d->keeper->poll();
-    d->peers->tick();
+    d->peers->tick(milliseconds(0));
     d->announce();
     logEvent(
         Event::ProcessStarted,
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -152,10 +152,11 @@
     d->datagrams.send(address, d->describeSelf());
 }
 
-void Peers::tick()
+void Peers::tick(milliseconds stall)
 {
     const TimePoint now = d->context.clock.now();
     for (auto &[id, view] : d->views) {
+        view.heardAt += stall;
         view.isSilent = now - view.heardAt >= d->context.settings.silenceTimeout;
     }
     if (now < d->nextPoll) {
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -40,8 +40,8 @@
     void announce(const std::vector<Address> &sidecars);
     /// Announces now to one process.
     void announceTo(const Address &address);
-    /// Reads the list if it is time.
-    void tick();
+    /// Finds silent entries; reads the list if it is time. `stall` is the time for which this process stood still before.
+    void tick(milliseconds stall);
 
     /// Addresses to hand a change of configuration to: a few in the data centre, a few outside.
     std::vector<Address> fanOut() const;
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -13,7 +13,7 @@
 
 // [SECTION] State
 
-constexpr milliseconds longestProgressTimeout{5000}; ///< before anything is known of a model's times
+constexpr milliseconds longestProgressTimeout{5000}; ///< before anything is known of a model's times, and for answers of stages that are heard
 constexpr std::uint32_t idleQueriesToResync = 2;     ///< queries that blame nobody before the attempt is renewed
 constexpr milliseconds exclusionLife{500};           ///< a waiting stream takes back targets that failed it after this time
 constexpr double retryRefillPerSecond = 0.1;         ///< share of the open streams that may get a new attempt each second, beyond the share of requests
@@ -38,9 +38,9 @@
     bool isAttemptSuspect = false;                     ///< the current attempt was opened as a suspect: its first steps run alone
     TimePoint notBefore{};                             ///< no new attempt before
     bool hasQuery = false;                             ///< StageQuery is out
-    TimePoint queryEndsAt{};                           ///< then whoever has not answered is taken as gone
+    TimePoint askedAt{};                               ///< when StageQuery went out
     std::vector<std::optional<StageProgress>> reports; ///< answers to it
-    std::uint32_t idleQueries = 0;                     ///< in a row that blamed nobody
+    std::uint32_t idleQueries = 0;                     ///< in a row that replaced nobody and found no engine at work
 };
 
 /// Times of one model's streams.
@@ -116,6 +116,8 @@
     void takeReport(const StageReport &frame);
 
     milliseconds progressTimeout(const OpenStream &stream);
+    bool isAnswerOverdue(const OpenStream &stream, TimePoint now) const;
+    void askStages(OpenStream &stream, TimePoint now);
     void checkProgress(OpenStream &stream, TimePoint now);
     void judge(OpenStream &stream);
     void replaceWhere(const std::function<bool(const StageAddress &)> &matches, const Error &error, bool isTargetsFault);
@@ -228,6 +230,7 @@
         return;
     }
     const StageAddress lost = stream.chain[stageIndex];
+    stream.idleQueries = 0;
     stream.excluded.insert(lost.target);
     if (isTargetsFault) {
         targets.noteFailure(lost.target);
@@ -412,11 +415,12 @@
     if (!isExpected) {
         return;
     }
-    // A stage that does not know the stream can't tell its place either: left unanswered, it is blamed at the deadline.
-    if (frame.attempt != stream->attempt) {
+    const bool isKnown = frame.attempt == stream->attempt;
+    const bool isAnswer = isKnown || frame.askedAttempt == stream->attempt;
+    if (!isAnswer) {
         return;
     }
-    stream->reports[frame.stageIndex] = StageProgress{frame.received, frame.applied, frame.sent, true};
+    stream->reports[frame.stageIndex] = StageProgress{frame.received, frame.applied, frame.sent, isKnown, frame.isEngineMoving};
     const bool isComplete = std::all_of(stream->reports.begin(), stream->reports.end(), [](const auto &report) {
         return report.has_value();
     });
@@ -438,7 +442,7 @@
 void Streams::Private::checkProgress(OpenStream &stream, TimePoint now)
 {
     if (stream.hasQuery) {
-        if (now >= stream.queryEndsAt) {
+        if (isAnswerOverdue(stream, now)) {
             judge(stream);
         }
         return;
@@ -447,29 +451,60 @@
     if (now - stream.progressAt < timeout) {
         return;
     }
+    askStages(stream, now);
+}
+
+/// Whether a stage that has not answered is to be taken as gone. One that is still heard is only slow to answer, as is this
+/// process if it is slow to read: replaced for that, all stages of a busy system would be, one after the other.
+bool Streams::Private::isAnswerOverdue(const OpenStream &stream, TimePoint now) const
+{
+    const auto waited = now - stream.askedAt;
+    if (waited < context.settings.progressTimeout / 2) {
+        return false;
+    }
+    bool isSilent = false;
+    for (std::size_t i = 0; i < stream.reports.size(); ++i) {
+        isSilent = isSilent || (!stream.reports[i] && targets.isOverdue(stream.chain[i].target));
+    }
+    return isSilent || waited >= longestProgressTimeout;
+}
+
+void Streams::Private::askStages(OpenStream &stream, TimePoint now)
+{
     stream.hasQuery = true;
-    stream.queryEndsAt = now + context.settings.progressTimeout / 2;
+    stream.askedAt = now;
     stream.reports.assign(stream.chain.size(), std::nullopt);
-    for (const StageAddress &stage : stream.chain) {
-        context.links.link(addressOf(stage))->send(StageQuery{stream.request.id, stream.attempt});
+    for (std::uint32_t i = 0; i < stream.chain.size(); ++i) {
+        context.links.link(addressOf(stream.chain[i]))->send(StageQuery{stream.request.id, stream.attempt, i});
     }
 }
 
 void Streams::Private::judge(OpenStream &stream)
 {
     stream.hasQuery = false;
-    if (const std::optional<std::uint32_t> stage = blameStage(stream.reports)) {
-        const std::string peer = stream.chain[*stage].target.value;
-        return replaceStage(stream, *stage, {"wait for token", peer, "no progress"}, true);
+    const std::optional<StageBlame> blame = blameStage(stream.reports);
+    // Stages answer at different times: a frame on its way between two of them looks lost. Asked again, and after a renewal
+    // on the same chain, only one that is lost still does.
+    const bool isFrameMissing = blame && blame->fault == StageFault::InputsNotReceived;
+    const bool mayBeOnItsWay = isFrameMissing && stream.idleQueries < idleQueriesToResync;
+    if (blame && !mayBeOnItsWay) {
+        const std::string peer = stream.chain[blame->stage].target.value;
+        return replaceStage(stream, blame->stage, {"wait for token", peer, std::string("no progress: ") + toString(blame->fault)}, true);
     }
     stream.progressAt = context.clock.now();
+    if (!blame && waitsForTurn(stream.reports)) {
+        return;
+    }
     ++stream.idleQueries;
-    if (stream.idleQueries >= idleQueriesToResync) {
-        // All stages wait for each other: a frame between two of them was lost with its link. A new attempt on the same
-        // chain makes each ask for what it lacks.
+    if (stream.idleQueries < idleQueriesToResync) {
+        return;
+    }
+    // All stages wait for each other, or one for a frame that was lost with its link. A new attempt on the same chain makes
+    // each ask for what it lacks.
+    if (!isFrameMissing) {
         stream.idleQueries = 0;
-        renew(stream, {"wait for token", "", "no stage is at fault"});
     }
+    renew(stream, {"wait for token", "", "no stage is at fault"});
 }
 
 /// Replaces the matching stage of every stream that has one.
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -1,6 +1,7 @@
 #include "entry/targets.h"
 
 #include "base/log.h"
+#include "policy/progress.h"
 
 #include <algorithm>
 #include <map>
@@ -15,7 +16,8 @@
 /// A target with what only the entry's table needs.
 struct KnownTarget {
     TargetView view;
-    TimePoint pushedAt{}; ///< last push of configuration
+    TimePoint pushedAt{};  ///< last push of configuration
+    TimeEstimate gapTimes; ///< between two times that it was heard
 };
 
 } // namespace
@@ -122,7 +124,11 @@
 
 void Targets::Private::heard(KnownTarget &target)
 {
-    target.view.heardAt = context.clock.now();
+    const TimePoint now = context.clock.now();
+    if (target.view.heardAt != TimePoint{}) {
+        noteTime(target.gapTimes, std::chrono::duration<double>(now - target.view.heardAt).count());
+    }
+    target.view.heardAt = now;
     if (target.view.isSilent) {
         target.view.isSilent = false;
         logEvent(Event::TargetBack, {{"target", target.view.last.target.value}});
@@ -172,10 +178,11 @@
     }
 }
 
-void Targets::tick()
+void Targets::tick(milliseconds stall)
 {
     const TimePoint now = d->context.clock.now();
     for (auto &[id, target] : d->targets) {
+        target.view.heardAt += stall;
         if (!target.view.isSilent && now - target.view.heardAt >= d->context.settings.silenceTimeout) {
             target.view.isSilent = true;
             logEvent(Event::TargetSilent, {{"target", id.value}});
@@ -208,6 +215,17 @@
     return it == d->targets.end() ? nullptr : &it->second.view;
 }
 
+bool Targets::isOverdue(const TargetId &target) const
+{
+    const auto it = d->targets.find(target);
+    if (it == d->targets.end()) {
+        return true;
+    }
+    const EntrySettings &settings = d->context.settings;
+    const milliseconds usual = overdueAfter(it->second.gapTimes, std::min(settings.progressTimeout, settings.silenceTimeout), settings.silenceTimeout);
+    return d->context.clock.now() - it->second.view.heardAt >= usual;
+}
+
 LinkPtr Targets::link(const TargetId &target)
 {
     const TargetView *view = find(target);
--- a/src/entry/targets.h
+++ b/src/entry/targets.h
@@ -30,12 +30,15 @@
     void markLeaving(const std::vector<TargetId> &leaving);
     /// The link to an address broke: its target gets no new work until it announces itself again.
     void linkGone(const std::string &address);
-    /// Finds silent targets, forgets those long gone. Called every few tens of milliseconds.
-    void tick();
+    /// Finds silent targets, forgets those long gone. Called every few tens of milliseconds; `stall` is the time for which
+    /// this process stood still before, which is not counted as silence.
+    void tick(milliseconds stall);
 
     /// All targets, for the decisions. Valid until the next call that changes the table.
     std::vector<const TargetView *> views() const;
     const TargetView *find(const TargetId &target) const;
+    /// Whether the target has not been heard for longer than is usual for it. Earlier than silent; at least progress-timeout.
+    bool isOverdue(const TargetId &target) const;
     /// The link to a target; made if there is none.
     LinkPtr link(const TargetId &target);
 
--- a/src/policy/progress.cpp
+++ b/src/policy/progress.cpp
@@ -30,24 +30,61 @@
     return std::clamp(time, shortest, longest);
 }
 
-std::optional<std::uint32_t> blameStage(const std::vector<std::optional<StageProgress>> &stages)
+milliseconds stallBefore(TimePoint lastTick, TimePoint now, milliseconds interval)
+{
+    if (lastTick == TimePoint{}) {
+        return milliseconds(0);
+    }
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - lastTick) - 2 * interval);
+}
+
+const char *toString(StageFault fault)
+{
+    switch (fault) {
+    case StageFault::NoAnswer:
+        return "did not answer";
+    case StageFault::StreamUnknown:
+        return "stream unknown";
+    case StageFault::InputsNotApplied:
+        return "inputs not applied";
+    case StageFault::InputsNotReceived:
+        return "inputs not received";
+    }
+    return "unknown";
+}
+
+static bool holdsInputs(const StageProgress &stage)
+{
+    return stage.applied < stage.received;
+}
+
+std::optional<StageBlame> blameStage(const std::vector<std::optional<StageProgress>> &stages)
 {
     for (std::uint32_t i = 0; i < stages.size(); ++i) {
         if (!stages[i] || !stages[i]->isKnown) {
-            return i;
+            return StageBlame{i, stages[i] ? StageFault::StreamUnknown : StageFault::NoAnswer};
         }
     }
     for (std::uint32_t i = 0; i < stages.size(); ++i) {
-        if (stages[i]->applied < stages[i]->received) {
-            return i;
+        // Under load a stream may wait for many others: an engine taken for stuck then hands its streams to the next one,
+        // which gets slower for it, until none is left. An engine that hangs ends no steps.
+        if (holdsInputs(*stages[i]) && !stages[i]->isEngineMoving) {
+            return StageBlame{i, StageFault::InputsNotApplied};
         }
     }
     for (std::uint32_t i = 1; i < stages.size(); ++i) {
         if (stages[i]->received < stages[i - 1]->sent) {
-            return i;
+            return StageBlame{i, StageFault::InputsNotReceived};
         }
     }
     return std::nullopt;
 }
 
+bool waitsForTurn(const std::vector<std::optional<StageProgress>> &stages)
+{
+    return std::any_of(stages.begin(), stages.end(), [](const std::optional<StageProgress> &stage) {
+        return stage && holdsInputs(*stage) && stage->isEngineMoving;
+    });
+}
+
 } // namespace Parsleytrail
--- a/src/policy/progress.h
+++ b/src/policy/progress.h
@@ -19,18 +19,35 @@
 /// Time after which something is overdue: mean + 4 deviations, within [shortest, longest]; `longest` while nothing was seen.
 milliseconds overdueAfter(const TimeEstimate &estimate, milliseconds shortest, milliseconds longest);
 
+/// Time for which this process stood still before a tick, beyond what ticks every `interval` may be late; zero before the
+/// first tick. What others sent meanwhile waits to be read, so that it is no sign of their silence.
+milliseconds stallBefore(TimePoint lastTick, TimePoint now, milliseconds interval);
+
 /// Progress of one stage; nothing if it did not answer.
 struct StageProgress {
-    std::uint32_t received = 0; ///< positions received
-    std::uint32_t applied = 0;  ///< positions applied by the engine
-    std::uint32_t sent = 0;     ///< positions passed on
-    bool isKnown = true;        ///< false: the sidecar does not know the stream
+    std::uint32_t received = 0;  ///< positions received
+    std::uint32_t applied = 0;   ///< positions applied by the engine
+    std::uint32_t sent = 0;      ///< positions passed on
+    bool isKnown = true;         ///< false: the sidecar does not know the stream
+    bool isEngineMoving = false; ///< its engine ends steps: inputs that are not applied wait for their turn
+};
+
+/// What speaks against a stage.
+enum class StageFault { NoAnswer, StreamUnknown, InputsNotApplied, InputsNotReceived };
+const char *toString(StageFault fault);
+
+/// The stage to replace, and why.
+struct StageBlame {
+    std::uint32_t stage = 0;                 ///< its place in the chain
+    StageFault fault = StageFault::NoAnswer; ///< what speaks against it
 };
 
 /// The stage to replace, or nothing if all have done what they could.
 ///
 /// The first stage that did not answer or lost the stream is at fault; otherwise the first whose engine holds inputs
-/// that it has not applied; otherwise the first that has not received what the stage before it has sent.
-std::optional<std::uint32_t> blameStage(const std::vector<std::optional<StageProgress>> &stages);
+/// that it has not applied and ends no steps; otherwise the first that has not received what the stage before it has sent.
+std::optional<StageBlame> blameStage(const std::vector<std::optional<StageProgress>> &stages);
+/// Whether inputs of the stream wait for their turn at an engine that ends steps: then no frame is missing.
+bool waitsForTurn(const std::vector<std::optional<StageProgress>> &stages);
 
 } // namespace Parsleytrail
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t maxStepAnswerBytes = 64u << 20;
 constexpr std::uint32_t failuresToUnhealthy = 2; ///< reports missed in a row
+constexpr milliseconds shortestStepOverdue{250}; ///< a busy machine may hold up an engine for as long
+constexpr milliseconds longestStepOverdue{5000}; ///< also before any step was seen
 
 // [SECTION] Encoding
 
@@ -80,6 +82,9 @@
     std::uint32_t missedReports = 0;
     bool isRefreshing = false;
     TimeEstimate stepTime;
+    TimeEstimate itemTime;         ///< time of a step for each stream in it
+    std::size_t itemsInFlight = 0; ///< streams in all steps in flight
+    TimePoint movedAt{};           ///< last step ended, or given to an idle engine
     TimeHistogram &stepHistogram;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -145,18 +150,26 @@
     request.body = json{{"items", std::move(encoded)}}.dump(-1, ' ', false, json::error_handler_t::replace);
     request.timeout = context.settings.stepTimeout;
     request.maxBodyBytes = maxStepAnswerBytes;
-    ++inFlight;
     const TimePoint started = context.clock.now();
+    if (inFlight == 0) {
+        movedAt = started;
+    }
+    ++inFlight;
+    itemsInFlight += items.size();
     const auto shared = std::make_shared<std::vector<PendingItem>>(std::move(items));
     context.client.fetch(context.targetAddress, std::move(request), [this, shared, started, weak = std::weak_ptr(alive)](const HttpResult &result) {
         if (weak.expired()) {
             return;
         }
         --inFlight;
+        itemsInFlight -= shared->size();
         isAloneInFlight = false;
-        const double seconds = std::chrono::duration<double>(context.clock.now() - started).count();
+        const TimePoint now = context.clock.now();
+        const double seconds = std::chrono::duration<double>(now - started).count();
         if (result.isOk()) {
+            movedAt = now;
             noteTime(stepTime, seconds);
+            noteTime(itemTime, seconds / static_cast<double>(shared->size()));
             hasStepSinceDeath = true;
             stepHistogram.record(seconds);
         }
@@ -244,6 +257,9 @@
                     0,
                     false,
                     {},
+                    {},
+                    0,
+                    {},
                     context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
 {
 }
@@ -304,6 +320,17 @@
     return d->queue.size();
 }
 
+bool EngineClient::isMoving() const
+{
+    // Steps take longer when more streams share them, as after a burst: judged by the steps before it, the engine would be
+    // taken for stuck just when it has most to do.
+    const milliseconds usual = overdueAfter(d->stepTime, shortestStepOverdue, longestStepOverdue);
+    const auto items = static_cast<double>(d->itemsInFlight);
+    const TimeEstimate ofAll{d->itemTime.meanSeconds * items, d->itemTime.deviationSeconds * items};
+    const milliseconds forItems = overdueAfter(ofAll, shortestStepOverdue, longestStepOverdue);
+    return d->context.clock.now() - d->movedAt < std::max(usual, forItems);
+}
+
 std::uint32_t EngineClient::stepMicros() const
 {
     return static_cast<std::uint32_t>(d->stepTime.meanSeconds * 1e6);
--- a/src/sidecar/engine_client.h
+++ b/src/sidecar/engine_client.h
@@ -72,6 +72,8 @@
 
     const EngineState &report() const;
     std::size_t queued() const;
+    /// Whether the engine has ended a step, or was given its first, within the usual time of a step.
+    bool isMoving() const;
     /// Smoothed time of a step, microseconds; 0 before the first.
     std::uint32_t stepMicros() const;
 
--- a/src/sidecar/stages.cpp
+++ b/src/sidecar/stages.cpp
@@ -495,12 +495,15 @@
 {
     StageReport answer;
     answer.request = query.request;
+    answer.askedAttempt = query.attempt;
+    answer.stageIndex = query.stageIndex;
     if (const HeldStream *stream = find(query.request)) {
         answer.attempt = stream->core.attempt;
         answer.stageIndex = stream->core.stageIndex;
         answer.received = received(stream->core);
         answer.applied = stream->core.applied;
         answer.sent = stream->core.sent;
+        answer.isEngineMoving = engine.isMoving();
     }
     link->send(answer);
 }
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -2,12 +2,15 @@
 //
 // Each test kills something at a fixed number of tokens; what happens in which order is told at each.
 #include "tests/cluster.h"
+#include "wire/link.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <thread>
+
 using namespace Parsleytrail;
 using namespace Parsleytrail::Test;
 
@@ -97,6 +100,48 @@
     checkAnswer(cluster, answer);
 }
 
+BOOST_AUTO_TEST_CASE(the_entry_itself_stands_still)
+{
+    // The entry is stopped, or its machine is busy, for longer than silence-timeout, and then goes on. What the sidecars
+    // sent meanwhile is still to be read: none of them is silent, no stage is replaced, and no request is refused.
+    ClusterOptions options = slowEngines();
+    options.tuneEntry = [](EntrySettings &entry) {
+        entry.silenceTimeout = milliseconds(700);
+        entry.progressTimeout = milliseconds(600);
+    };
+    Cluster cluster(options);
+    AnswerPtr answer;
+    askAndFind(cluster, answer, 0);
+    std::this_thread::sleep_for(milliseconds(1500));
+    checkAnswer(cluster, answer);
+    const std::string metrics = cluster.operate("GET", "/operator/v1/metrics").body;
+    BOOST_TEST(metrics.find("parsley_stages_replaced_total 0\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_sidecar_that_lost_a_stream_says_so)
+{
+    // A sidecar that is well has freed a stream that its entry still has open. Asked how far it is, it names the attempt and
+    // the stage asked about, and no attempt of its own, so that the entry replaces it without waiting for more.
+    Cluster cluster;
+    std::optional<StageReport> report;
+    LinkHandlers handlers;
+    handlers.onFrame = [&report](const LinkPtr &, const Frame &frame) {
+        return frame.message != StageReport::messageId || decodeAnd<StageReport>(frame, [&report](const StageReport &message) {
+                   report = message;
+               });
+    };
+    handlers.onClosed = [](const LinkPtr &, const Error &) {};
+    LinkPool links(cluster.loop, {{Role::Entry, "asker", {1}}, currentWireVersion}, handlers);
+    links.link(cluster.sidecars[0]->linkAddress())->send(StageQuery{{"lost"}, {3}, 2});
+    cluster.wait("a report", [&report] {
+        return report.has_value();
+    });
+    BOOST_TEST(report->request.value == "lost");
+    BOOST_TEST(report->attempt.value == 0u);
+    BOOST_TEST(report->askedAttempt.value == 3u);
+    BOOST_TEST(report->stageIndex == 2u);
+}
+
 BOOST_DATA_TEST_CASE(sidecar_dies, boost::unit_test::data::xrange(3), stage)
 {
     // The sidecar of one stage is killed: the entry and its neighbours see their links break.
