A relay that stood still keeps its peers

Cause: after a freeze or a starved second a relay found all its peers silent before it had read what they sent: it dropped their streams from its counts of the engines, and with the store away it would give orders beside the relay that does. Found by reading, after the same fault at entries. Budgets were not affected: they never take back the shares of relays that are gone. Change: the time for which the relay itself stood still does not count (as at entries); /state tells how many peers are heard. Test: two relays stand still for 2.5 s; fails without the change, passes with it. Relay tests pass.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -481,6 +481,7 @@
     state["isConfigurationFresh"] = d->registry->isConfigurationFresh();
     state["holdsPlacementLease"] = d->lease->isHeld();
     state["openRequests"] = d->forwardings.size();
+    state["peersHeard"] = d->peers->live().size();
     state["callerConnections"] = d->sessions->count();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.listed.service.value}, {"address", target.listed.address.toString()},
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_peers.h"
 
 #include "base/log.h"
+#include "policy/progress.h"
 #include "wire/datagrams.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     std::set<std::string> hosts{}; ///< to announce to
     Incarnation incarnation{};
     std::uint64_t sequence = 0;
+    TimePoint tickedAt{};
 
     void announce();
     RelayAnnouncement describeSelf();
@@ -154,6 +156,13 @@
 void RelayPeers::Private::dropSilent()
 {
     const TimePoint now = context.clock.now();
+    // A relay that stood still has not read yet what the others sent. Taken for gone, their streams would not be counted at
+    // the engines, and while the store is away this relay would give orders beside the one that does.
+    const milliseconds stall = stallBefore(tickedAt, now, announceInterval);
+    tickedAt = now;
+    for (auto &[id, peer] : live) {
+        peer.heardAt += stall;
+    }
     std::erase_if(live, [&](const auto &entry) {
         const bool isSilent = now - entry.second.heardAt > silenceTimeout;
         if (isSilent) {
--- a/tests/relay_calls_test.cpp
+++ b/tests/relay_calls_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace Parsleytrail;
 using namespace Parsleytrail::Test;
 using StandIn::RawReply;
@@ -400,6 +402,24 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(aRelayThatStoodStillKeepsItsPeers)
+{
+    // A relay is frozen for longer than its peers may be silent, and goes on before it has read what they sent meanwhile.
+    // It still counts them: their streams at the engines, and that one of them may be giving orders.
+    RelaySystemOptions options;
+    options.relays = 2;
+    RelaySystem system(options);
+    system.waitReady();
+    system.waitState("\"peersHeard\": 1");
+    std::this_thread::sleep_for(milliseconds(2500));
+    const bool hasLostPeer = system.loop().runUntil(
+        [&system] {
+            return system.relay().dumpState().find("\"peersHeard\": 1") == std::string::npos;
+        },
+        milliseconds(500));
+    BOOST_TEST(!hasLostPeer);
+}
+
 BOOST_AUTO_TEST_CASE(aDrainingTargetGetsNothingNew)
 {
     RelaySystem system;
