What is done about a stream that stands still is a pure decision; borders between ranges stay

judgeStall() holds what the entry did between reading the stages' answers and acting: waiting, renewing, replacing. Tests for a frame on its way, for stages that wait for each other, for an engine that works off its queue. No change of behaviour.

--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -14,7 +14,6 @@
 // [SECTION] State
 
 constexpr milliseconds longestProgressTimeout{5000}; ///< before anything is known of a model's times, and for answers of stages that are heard
-constexpr std::uint32_t idleQueriesToResync = 2;     ///< queries that blame nobody before the attempt is renewed
 constexpr milliseconds exclusionLife{500};           ///< a waiting stream takes back targets that failed it after this time
 constexpr double retryRefillPerSecond = 0.1;         ///< share of the open streams that may get a new attempt each second, beyond the share of requests
 
@@ -40,7 +39,7 @@
     bool hasQuery = false;                             ///< StageQuery is out
     TimePoint askedAt{};                               ///< when StageQuery went out
     std::vector<std::optional<StageProgress>> reports; ///< answers to it
-    std::uint32_t idleQueries = 0;                     ///< in a row that replaced nobody and found no engine at work
+    std::uint32_t idleQueries = 0;                     ///< see judgeStall()
 };
 
 /// Times of one model's streams.
@@ -482,29 +481,15 @@
 void Streams::Private::judge(OpenStream &stream)
 {
     stream.hasQuery = false;
-    const std::optional<StageBlame> blame = blameStage(stream.reports);
-    // Stages answer at different times: a frame on its way between two of them looks lost. Asked again, and after a renewal
-    // on the same chain, only one that is lost still does.
-    const bool isFrameMissing = blame && blame->fault == StageFault::InputsNotReceived;
-    const bool mayBeOnItsWay = isFrameMissing && stream.idleQueries < idleQueriesToResync;
-    if (blame && !mayBeOnItsWay) {
-        const std::string peer = stream.chain[blame->stage].target.value;
-        return replaceStage(stream, blame->stage, {"wait for token", peer, std::string("no progress: ") + toString(blame->fault)}, true);
+    const StallVerdict verdict = judgeStall(stream.reports, stream.idleQueries);
+    if (verdict.action == StallAction::Replace) {
+        const std::string peer = stream.chain[verdict.blame.stage].target.value;
+        return replaceStage(stream, verdict.blame.stage, {"wait for token", peer, std::string("no progress: ") + toString(verdict.blame.fault)}, true);
     }
     stream.progressAt = context.clock.now();
-    if (!blame && waitsForTurn(stream.reports)) {
-        return;
-    }
-    ++stream.idleQueries;
-    if (stream.idleQueries < idleQueriesToResync) {
-        return;
-    }
-    // All stages wait for each other, or one for a frame that was lost with its link. A new attempt on the same chain makes
-    // each ask for what it lacks.
-    if (!isFrameMissing) {
-        stream.idleQueries = 0;
+    if (verdict.action == StallAction::Renew) {
+        renew(stream, {"wait for token", "", "no stage is at fault"});
     }
-    renew(stream, {"wait for token", "", "no stage is at fault"});
 }
 
 /// Replaces the matching stage of every stream that has one.
--- a/src/policy/progress.cpp
+++ b/src/policy/progress.cpp
@@ -80,11 +80,37 @@
     return std::nullopt;
 }
 
-bool waitsForTurn(const std::vector<std::optional<StageProgress>> &stages)
+/// Whether inputs of the stream wait for their turn at an engine that ends steps: then no frame is missing.
+static bool waitsForTurn(const std::vector<std::optional<StageProgress>> &stages)
 {
     return std::any_of(stages.begin(), stages.end(), [](const std::optional<StageProgress> &stage) {
         return stage && holdsInputs(*stage) && stage->isEngineMoving;
     });
 }
 
+StallVerdict judgeStall(const std::vector<std::optional<StageProgress>> &stages, std::uint32_t &idleQueries)
+{
+    const std::optional<StageBlame> blame = blameStage(stages);
+    // Stages answer at different times: a frame on its way between two of them looks lost. Asked again, and after a renewal
+    // on the same chain, only one that is lost still does.
+    const bool isFrameMissing = blame && blame->fault == StageFault::InputsNotReceived;
+    const bool mayBeOnItsWay = isFrameMissing && idleQueries < idleQueriesToRenew;
+    if (blame && !mayBeOnItsWay) {
+        idleQueries = 0;
+        return {StallAction::Replace, *blame};
+    }
+    if (!blame && waitsForTurn(stages)) {
+        return {StallAction::Wait, {}};
+    }
+    ++idleQueries;
+    if (idleQueries < idleQueriesToRenew) {
+        return {StallAction::Wait, {}};
+    }
+    // All stages wait for each other, or one for a frame that was lost with its link.
+    if (!isFrameMissing) {
+        idleQueries = 0;
+    }
+    return {StallAction::Renew, {}};
+}
+
 } // namespace Parsleytrail
--- a/src/policy/progress.h
+++ b/src/policy/progress.h
@@ -47,7 +47,22 @@
 /// The first stage that did not answer or lost the stream is at fault; otherwise the first whose engine holds inputs
 /// that it has not applied and ends no steps; otherwise the first that has not received what the stage before it has sent.
 std::optional<StageBlame> blameStage(const std::vector<std::optional<StageProgress>> &stages);
-/// Whether inputs of the stream wait for their turn at an engine that ends steps: then no frame is missing.
-bool waitsForTurn(const std::vector<std::optional<StageProgress>> &stages);
+
+/// What to do about a stream that stands still.
+enum class StallAction {
+    Wait,    ///< nothing yet: it is asked about again if it goes on standing still
+    Renew,   ///< a new attempt on the same chain, so that each stage asks for what it lacks
+    Replace, ///< the blamed stage
+};
+struct StallVerdict {
+    StallAction action = StallAction::Wait; ///< what to do
+    StageBlame blame;                       ///< for Replace
+};
+
+/// Judges a stream that stands still by its stages' answers. `idleQueries` counts questions in a row about it that found
+/// nobody at fault and no engine at work; it is set back with each replacement here, and by the caller with each token.
+StallVerdict judgeStall(const std::vector<std::optional<StageProgress>> &stages, std::uint32_t &idleQueries);
+
+constexpr std::uint32_t idleQueriesToRenew = 2; ///< one may have been asked at a bad moment
 
 } // namespace Parsleytrail
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -282,13 +282,42 @@
     const StageProgress waits{10, 9, 9, true, true};
     const StageProgress hangs{10, 9, 9, true, false};
     BOOST_TEST(!blameStage(Reports{fine, waits, fine}).has_value());
-    BOOST_TEST(waitsForTurn(Reports{fine, waits, fine}));
-    BOOST_TEST(!waitsForTurn(Reports{fine, fine, fine}));
-    BOOST_TEST(!waitsForTurn(Reports{fine, hangs, fine}));
+    std::uint32_t idleQueries = 0;
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST((judgeStall(Reports{fine, waits, fine}, idleQueries).action == StallAction::Wait));
+    }
+    BOOST_TEST(idleQueries == 0u);
+    BOOST_TEST((judgeStall(Reports{fine, hangs, fine}, idleQueries).action == StallAction::Replace));
     checkBlame({waits, hangs, fine}, 1, StageFault::InputsNotApplied);
     checkBlame({waits, std::nullopt, fine}, 1, StageFault::NoAnswer);
 }
 
+BOOST_AUTO_TEST_CASE(a_frame_that_may_be_on_its_way_is_waited_for)
+{
+    // One stage has sent what the next has not received when it is asked. Mostly the frame arrives a moment later; lost, it
+    // is asked for again by a new attempt on the same chain, and only then is the stage replaced.
+    const StageProgress fine{10, 10, 10, true};
+    const StageProgress lacksFrame{8, 8, 8, true};
+    const Reports lost{fine, lacksFrame, fine};
+    std::uint32_t idleQueries = 0;
+    BOOST_TEST((judgeStall(lost, idleQueries).action == StallAction::Wait));
+    BOOST_TEST((judgeStall(lost, idleQueries).action == StallAction::Renew));
+    const StallVerdict verdict = judgeStall(lost, idleQueries);
+    BOOST_TEST((verdict.action == StallAction::Replace));
+    BOOST_TEST(verdict.blame.stage == 1u);
+    BOOST_TEST(idleQueries == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(stages_that_wait_for_each_other_are_renewed)
+{
+    const StageProgress fine{10, 10, 10, true};
+    const Reports idle{fine, fine, fine};
+    std::uint32_t idleQueries = 0;
+    BOOST_TEST((judgeStall(idle, idleQueries).action == StallAction::Wait));
+    BOOST_TEST((judgeStall(idle, idleQueries).action == StallAction::Renew));
+    BOOST_TEST((judgeStall(idle, idleQueries).action == StallAction::Wait));
+}
+
 BOOST_AUTO_TEST_CASE(late_ticks_show_that_the_process_stood_still)
 {
     const milliseconds interval(50);
