--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -72,17 +72,17 @@
 
 struct EngineClient::Private {
     SidecarContext &context;
-    std::deque<PendingItem> queue;
+    std::deque<PendingItem> queue{};
     std::size_t inFlight = 0;
     bool isSendScheduled = false;
     bool isAloneInFlight = false;  ///< the step in flight must have the engine for itself
     std::uint64_t deaths = 0;      ///< of the engine, as seen by broken steps
     bool hasStepSinceDeath = true; ///< broken steps with none done in between belong to one death
-    EngineState report;
+    EngineState report{};
     std::uint32_t missedReports = 0;
     bool isRefreshing = false;
-    TimeEstimate stepTime;
-    TimeEstimate itemTime;         ///< time of a step for each stream in it
+    TimeEstimate stepTime{};
+    TimeEstimate itemTime{};       ///< time of a step for each stream in it
     std::size_t itemsInFlight = 0; ///< streams in all steps in flight
     TimePoint movedAt{};           ///< last step ended, or given to an idle engine
     TimeHistogram &stepHistogram;
@@ -246,21 +246,8 @@
 // [SECTION] EngineClient
 
 EngineClient::EngineClient(SidecarContext &context)
-    : d(new Private{context,
-                    {},
-                    0,
-                    false,
-                    false,
-                    0,
-                    true,
-                    {},
-                    0,
-                    false,
-                    {},
-                    {},
-                    0,
-                    {},
-                    context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
+    : d(new Private{.context = context,
+                    .stepHistogram = context.metrics.histogram("parsley_engine_step_seconds", "Time of a request to the engine for one step.")})
 {
 }
 
