A stall is credited up to now and no further

Found on reading the diff: whoever is heard in the very turn that ends a stall got the stall's time on top, so that after a freeze of a minute its later silence would have gone unnoticed for a minute. The credit ends at now; policy test (no such function before).

--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -1,5 +1,6 @@
 #include "entry/peers.h"
 
+#include "policy/progress.h"
 #include "policy/rendezvous.h"
 
 #include <set>
@@ -156,7 +157,7 @@
 {
     const TimePoint now = d->context.clock.now();
     for (auto &[id, view] : d->views) {
-        view.heardAt += stall;
+        view.heardAt = creditStall(view.heardAt, stall, now);
         view.isSilent = now - view.heardAt >= d->context.settings.silenceTimeout;
     }
     if (now < d->nextPoll) {
--- a/src/entry/targets.cpp
+++ b/src/entry/targets.cpp
@@ -182,7 +182,7 @@
 {
     const TimePoint now = d->context.clock.now();
     for (auto &[id, target] : d->targets) {
-        target.view.heardAt += stall;
+        target.view.heardAt = creditStall(target.view.heardAt, stall, now);
         if (!target.view.isSilent && now - target.view.heardAt >= d->context.settings.silenceTimeout) {
             target.view.isSilent = true;
             logEvent(Event::TargetSilent, {{"target", id.value}});
--- a/src/policy/progress.cpp
+++ b/src/policy/progress.cpp
@@ -38,6 +38,11 @@
     return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - lastTick) - 2 * interval);
 }
 
+TimePoint creditStall(TimePoint heardAt, milliseconds stall, TimePoint now)
+{
+    return std::min(heardAt + stall, now);
+}
+
 const char *toString(StageFault fault)
 {
     switch (fault) {
--- a/src/policy/progress.h
+++ b/src/policy/progress.h
@@ -22,6 +22,8 @@
 /// Time for which this process stood still before a tick, beyond what ticks every `interval` may be late; zero before the
 /// first tick. What others sent meanwhile waits to be read, so that it is no sign of their silence.
 milliseconds stallBefore(TimePoint lastTick, TimePoint now, milliseconds interval);
+/// When something was last heard, with such a time not counted; never later than now.
+TimePoint creditStall(TimePoint heardAt, milliseconds stall, TimePoint now);
 
 /// Progress of one stage; nothing if it did not answer.
 struct StageProgress {
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -161,7 +161,7 @@
     const milliseconds stall = stallBefore(tickedAt, now, announceInterval);
     tickedAt = now;
     for (auto &[id, peer] : live) {
-        peer.heardAt += stall;
+        peer.heardAt = creditStall(peer.heardAt, stall, now);
     }
     std::erase_if(live, [&](const auto &entry) {
         const bool isSilent = now - entry.second.heardAt > silenceTimeout;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -325,6 +325,10 @@
     BOOST_TEST(stallBefore(start, start + milliseconds(50), interval).count() == 0);
     BOOST_TEST(stallBefore(start, start + milliseconds(100), interval).count() == 0);
     BOOST_TEST(stallBefore(start, start + milliseconds(1600), interval).count() == 1500);
+    // What was heard in the turn that ends the stall gets no credit: its silence counts from then on.
+    const TimePoint now = start + milliseconds(1600);
+    BOOST_TEST((creditStall(start, milliseconds(1500), now) == start + milliseconds(1500)));
+    BOOST_TEST((creditStall(now, milliseconds(1500), now) == now));
 }
 
 BOOST_AUTO_TEST_CASE(timeouts_follow_what_is_usual)
