--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -65,6 +65,11 @@
     return result;
 }
 
+void sendText(int socket, std::string_view text)
+{
+    BOOST_REQUIRE(send(socket, text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+}
+
 /// The system still answers a question.
 void checkAlive(Cluster &cluster)
 {
@@ -269,7 +274,7 @@
         const Address address = server.listen({"127.0.0.1", 0}).value();
         while (sockets.size() < count) {
             sockets.push_back(connectTo(address));
-            send(sockets.back(), "GET / HT", 8, 0);
+            sendText(sockets.back(), "GET / HT");
         }
         loop.runUntil(
             [] {
@@ -277,7 +282,7 @@
             },
             milliseconds(50));
         for (std::size_t i = 0; i < count; ++i) {
-            send(sockets[i], "TP/1.1\r\n\r\n", 12, 0);
+            sendText(sockets[i], "TP/1.1\r\n\r\n");
         }
         loop.run();
     }
