No silent limit, no echo of suspicion, repeats that are earned

Encoders check the limits that decoders check and say so; datagrams that are refused or not sent are counted and logged (the first, second, fourth, ...). Announcements name 64 peers in turn and the 128 most loaded targets. A peer's suspicion no longer asks anything. New setting retry-window.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -63,7 +63,7 @@
     Result<void> listen();
 
     bool takeFrame(const LinkPtr &link, const Frame &frame);
-    void takeDatagram(const Frame &frame, const Address &from);
+    bool takeDatagram(const Frame &frame, const Address &from);
     void takePeer(const EntryAnnouncement &announcement);
     void configurationChanged();
     std::string acceleratorOf(const TargetId &target) const;
@@ -157,7 +157,7 @@
     completions = std::make_unique<Completions>(*context, *streams, *guard, *work);
     keeper = std::make_unique<ConfigurationKeeper>(*context, *store);
     datagrams = std::make_unique<Datagrams>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
-        takeDatagram(frame, from);
+        return takeDatagram(frame, from);
     });
     peers = std::make_unique<Peers>(*context, *store, *datagrams, std::move(seeds), [this](EntryAnnouncement &announcement) {
         announcement.state = context->isDraining ? TargetState::Draining : isReady() ? TargetState::Ready : TargetState::Joining;
@@ -258,27 +258,27 @@
     }
 }
 
-void Entry::Private::takeDatagram(const Frame &frame, const Address &from)
+bool Entry::Private::takeDatagram(const Frame &frame, const Address &from)
 {
-    if (frame.message == Announcement::messageId) {
-        Announcement announcement;
-        if (decodeFrame(frame, announcement)) {
+    switch (frame.message) {
+    case Announcement::messageId:
+        return decodeAnd<Announcement>(frame, [&](const Announcement &announcement) {
             targets->take(announcement, keeper->inForce().version);
-        }
-        return;
-    }
-    LoadReport report;
-    if (frame.message == LoadReport::messageId && decodeFrame(frame, report)) {
-        if (!targets->take(report)) {
-            // Unknown here, most likely since this process has just started: the sidecar announces itself in full to an
-            // entry that it hears of for the first time.
-            peers->announceTo(from);
-        }
-        return;
-    }
-    EntryAnnouncement peer;
-    if (frame.message == EntryAnnouncement::messageId && decodeFrame(frame, peer)) {
-        peers->take(peer);
+        });
+    case LoadReport::messageId:
+        return decodeAnd<LoadReport>(frame, [&](const LoadReport &report) {
+            if (!targets->take(report)) {
+                // Unknown here, most likely since this process has just started: the sidecar announces itself in full to an
+                // entry that it hears of for the first time.
+                peers->announceTo(from);
+            }
+        });
+    case EntryAnnouncement::messageId:
+        return decodeAnd<EntryAnnouncement>(frame, [&](const EntryAnnouncement &peer) {
+            peers->take(peer);
+        });
+    default:
+        return false;
     }
 }
 
@@ -433,7 +433,10 @@
     result["incarnation"] = incarnation.value;
     result["retryBudget"] = {{"saved", context->retries.saved}, {"burst", context->retries.burst}};
     result["links"] = links->size();
-    result["datagrams"] = {{"refused", datagrams->refused()}, {"bytesSent", datagrams->bytesSent()}, {"bytesReceived", datagrams->bytesReceived()}};
+    result["datagrams"] = {{"refused", datagrams->refused()},
+                           {"unsent", datagrams->unsent()},
+                           {"bytesSent", datagrams->bytesSent()},
+                           {"bytesReceived", datagrams->bytesReceived()}};
     result["configurationBytesSent"] = keeper->bytesSent();
     result["openStreams"] = json::parse(streams->dump());
     result["openCalls"] = json::parse(calls->dump());
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -8,8 +8,14 @@
 namespace Parsleytrail
 {
 
-/// Part of the platform's bound that is used: entries do not coordinate, and one that restarts begins with a full budget.
-constexpr double budgetUse = 0.85;
+static SharedBudgetTerms retryTerms(const RelayContext &context)
+{
+    SharedBudgetTerms terms;
+    terms.share = context.settings.retryShare;
+    terms.burst = context.settings.retryBurst;
+    terms.window = std::chrono::duration_cast<std::chrono::seconds>(context.settings.retryWindow);
+    return terms;
+}
 
 static RetryBudget &budgetOf(RelayContext &context, const ServiceName &service)
 {
@@ -17,23 +23,29 @@
     if (it != context.retryBudgets.end()) {
         return it->second;
     }
-    RetryBudget budget;
-    budget.share = context.settings.retryShare * budgetUse;
-    budget.burst = context.settings.retryBurst * budgetUse / context.liveEntries;
-    budget.saved = budget.burst;
+    RetryBudget budget = makeRetryPart(retryTerms(context), entriesToShareWith(context.entryCount, context.clock.now()));
+    if (context.hasRetryPart) {
+        grantRetryPart(budget);
+    }
     return context.retryBudgets.emplace(service, budget).first->second;
 }
 
-void setLiveEntries(RelayContext &context, int entries)
+void noteHeardEntries(RelayContext &context, int heard)
 {
-    // Entries that are gone may be back, or only cut off from this one: their part of the budget stays theirs.
-    if (entries <= context.liveEntries) {
-        return;
-    }
-    context.liveEntries = entries;
+    context.entryCount.mostHeard = std::max(context.entryCount.mostHeard, heard);
+}
+
+void updateBudgetParts(RelayContext &context)
+{
+    const TimePoint now = context.clock.now();
+    const SharedBudgetTerms terms = retryTerms(context);
+    const bool isGranted = !context.hasRetryPart && now - context.entryCount.startedAt >= terms.window;
+    context.hasRetryPart = context.hasRetryPart || isGranted;
     for (auto &[service, budget] : context.retryBudgets) {
-        budget.burst = context.settings.retryBurst * budgetUse / entries;
-        budget.saved = std::min(budget.saved, budget.burst);
+        resizeRetryPart(budget, terms, entriesToShareWith(context.entryCount, now));
+        if (isGranted) {
+            grantRetryPart(budget);
+        }
     }
 }
 
@@ -60,7 +72,7 @@
 
 RateBudget &crossingBudget(RelayContext &context, const ServiceSpec &service)
 {
-    const RateBudget newest = makeCrossingBudget(*service.engine, context.liveEntries);
+    const RateBudget newest = makeCrossingBudget(*service.engine, entriesToShareWith(context.entryCount, context.clock.now()));
     RateBudget &budget = context.crossingBudgets[service.name];
     budget.perSecond = newest.perSecond;
     budget.burst = newest.burst;
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -3,9 +3,9 @@
 
 #include "base/metrics.h"
 #include "generated/settings.h"
-#include "policy/budget.h"
 #include "policy/fleet.h"
 #include "policy/routes.h"
+#include "policy/shared_budget.h"
 #include "relay/dialect.h"
 #include "relay/target_exchange.h"
 
@@ -47,12 +47,15 @@
     std::unordered_map<ServiceName, RateBudget> crossingBudgets{};
     std::mt19937_64 random{}; ///< seeded by the id and the start, so that a run can be repeated
     RelayMetrics metrics{};
-    double usualGapMs = 50; ///< moving average of the time between two events of a stream
-    int liveEntries = 1;    ///< entries that share budgets, this one included
+    double usualGapMs = 50;    ///< moving average of the time between two events of a stream
+    EntryCount entryCount{};   ///< entries that share budgets
+    bool hasRetryPart = false; ///< this entry was granted its part of the retry budgets
 };
 
-/// Raises the number of entries that share budgets; it never falls.
-void setLiveEntries(RelayContext &context, int entries);
+/// Notes how many other entries are heard of now.
+void noteHeardEntries(RelayContext &context, int heard);
+/// Adapts this entry's parts of budgets to the time and the number of entries. Called once a second.
+void updateBudgetParts(RelayContext &context);
 /// Takes one repeated send of this entry's part of the service's budget; false if it is spent.
 bool tryRetry(RelayContext &context, const ServiceName &service);
 /// Whether a repeated send could be taken now.
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -164,10 +164,8 @@
     const bool isConfiguration = table == d->context.dialect.configurationTable();
     const bool isTargets = table == d->context.dialect.targetTable();
     std::string bytes;
-    if (isConfiguration || isTargets) {
-        encode((isConfiguration ? d->configuration : d->targets)->copyRows(), copyWireVersion, bytes);
-    }
-    return bytes;
+    const bool isWhole = (isConfiguration || isTargets) && encode((isConfiguration ? d->configuration : d->targets)->copyRows(), copyWireVersion, bytes);
+    return isWhole ? bytes : std::string();
 }
 
 void Registry::Private::takeConfiguration(const Row &row)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -36,8 +36,7 @@
 /// answer of the store takes a fraction of a second, but callers come back once only, and may be early: a request that
 /// was refused is late in any case.
 constexpr milliseconds unknownRetryAfter{2000};
-/// Entries assumed until they are heard of: the retry budget is shared among them.
-constexpr int assumedEntries = 4;
+constexpr milliseconds budgetTick{1000}; ///< how often this entry's parts of budgets are adapted
 
 /// A stalled stream's engines are asked for this long after the threshold; later its first engine is asked what it waits for.
 constexpr milliseconds suspectWindow{60};
@@ -61,6 +60,7 @@
     std::unique_ptr<Timer> tick{};
     std::unique_ptr<Timer> leaveTick{};
     std::unique_ptr<Timer> drainTimer{};
+    std::unique_ptr<Timer> budgetTimer{};
     std::vector<ForwardingPtr> forwardings{}; ///< in the order in which they came, so that a run repeats
     std::function<void()> finished{};
     TimePoint drainStartedAt{};
@@ -301,11 +301,20 @@
 
 // [SECTION] Start and stop
 
+/// Whether the settings name another instance than this one.
+static bool namesOthers(const RelaySettings &settings)
+{
+    return std::any_of(settings.seeds.begin(), settings.seeds.end(), [&](const std::string &seed) {
+        return !seed.starts_with(settings.host + ":");
+    });
+}
+
 Relay::Relay(EventLoop &loop, const Clock &clock, const Dialect &dialect, const RelaySettings &settings)
     : d(new Private{{loop, clock, dialect, settings, TargetConnections(loop, clock)}, HttpClient(loop), {}})
 {
     Private &data = *d;
-    data.context.liveEntries = assumedEntries;
+    data.context.entryCount.startedAt = clock.now();
+    data.context.entryCount.mayHavePeers = namesOthers(settings);
     data.context.random.seed(hash64(settings.id, incarnationNow(clock).value));
     data.sessions = std::make_unique<CallerSessions>(loop, clock, [&data](const CallerExchangePtr &exchange) {
         data.takeRequest(exchange);
@@ -324,6 +333,9 @@
     data.drainTimer = std::make_unique<Timer>(loop, [&data] {
         data.checkDrain();
     });
+    data.budgetTimer = std::make_unique<Timer>(loop, [&data] {
+        updateBudgetParts(data.context);
+    });
     EngineProber::Handlers onProbe;
     onProbe.onDead = [&data](const TargetId &id) {
         data.moveFrom(id);
@@ -402,9 +414,6 @@
         announcement.isDraining = data.isDraining;
         announcement.isOrdering = data.lease->isHeld() || data.ordersWithoutStore;
     };
-    onPeers.onAvoided = [&data](const TargetId &id) {
-        data.prober->askSuspect(id);
-    };
     onPeers.onHeard = [&data](const RelayAnnouncement &announcement) {
         data.registry->notePeer(announcement);
     };
@@ -416,6 +425,7 @@
     data.placement->start();
     data.tick->startRepeating(forwardingTick);
     data.leaveTick->startRepeating(leaveCheckInterval);
+    data.budgetTimer->startRepeating(budgetTick);
     logEvent(Event::ProcessStarted,
              {{"id", settings.id}, {"callers", settings.callerAddress}, {"data_center", settings.dataCenter}, {"version", PARSLEYTRAIL_VERSION}});
     return {};
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -16,6 +16,7 @@
 /// A relay not heard of for this long is gone: several datagrams lost in a row.
 constexpr milliseconds silenceTimeout{1500};
 constexpr std::size_t maxLoads = 128; ///< of one datagram, see the schema
+constexpr std::size_t maxPeers = 64;  ///< the same; named in turn
 
 struct RelayPeers::Private {
     RelayContext &context;
@@ -27,9 +28,12 @@
     Incarnation incarnation{};
     std::uint64_t sequence = 0;
     TimePoint tickedAt{};
+    EntryId lastNamed{}; ///< peer named last in an announcement
 
     void announce();
     RelayAnnouncement describeSelf();
+    void namePeers(RelayAnnouncement &announcement);
+    std::vector<TargetLoad> heaviestLoads() const;
     void take(const RelayAnnouncement &announcement);
     void addLoads(const RelayAnnouncement &announcement, int sign);
     void dropSilent();
@@ -53,11 +57,9 @@
     const RelaySettings &settings = d->context.settings;
     constexpr std::uint16_t wireVersion = 2;
     d->datagrams = std::make_unique<Datagrams>(d->context.loop, wireVersion, [this](const Frame &frame, const Address &) {
-        if (frame.message == RelayAnnouncement::messageId) {
-            decodeAnd<RelayAnnouncement>(frame, [this](const RelayAnnouncement &announcement) {
-                d->take(announcement);
-            });
-        }
+        return frame.message == RelayAnnouncement::messageId && decodeAnd<RelayAnnouncement>(frame, [this](const RelayAnnouncement &announcement) {
+                   d->take(announcement);
+               });
     });
     BOOST_LEAF_CHECK(d->datagrams->bind({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
     for (const std::string &seed : settings.seeds) {
@@ -82,18 +84,42 @@
     announcement.incarnation = incarnation;
     announcement.sequence = ++sequence;
     announcement.host = context.settings.host;
-    for (const auto &[id, peer] : live) {
-        announcement.peers.push_back(peer.last.host);
+    namePeers(announcement);
+    announcement.loads = heaviestLoads();
+    handlers.describe(announcement);
+    return announcement;
+}
+
+/// Names as many peers as fit, others each time, so that all are told of in turn.
+void RelayPeers::Private::namePeers(RelayAnnouncement &announcement)
+{
+    auto next = live.upper_bound(lastNamed);
+    for (std::size_t i = 0; i < std::min(live.size(), maxPeers); ++i) {
+        next = next == live.end() ? live.begin() : next;
+        announcement.peers.push_back(next->second.last.host);
+        lastNamed = next->first;
+        ++next;
     }
+}
+
+/// Targets with load of this entry, or avoided by it. Of too many the most loaded: what others don't know of them misleads most.
+std::vector<TargetLoad> RelayPeers::Private::heaviestLoads() const
+{
     const TimePoint now = context.clock.now();
+    std::vector<TargetLoad> loads;
     for (const auto &[id, target] : context.fleet.targets) {
         const bool isAvoided = isFailing(target, now);
-        if ((target.openRequests > 0 || isAvoided) && announcement.loads.size() < maxLoads) {
-            announcement.loads.push_back({id, static_cast<std::uint32_t>(target.openRequests), static_cast<std::uint64_t>(target.kvTokenLayers), isAvoided});
+        if (target.openRequests > 0 || isAvoided) {
+            loads.push_back({id, static_cast<std::uint32_t>(target.openRequests), static_cast<std::uint64_t>(target.kvTokenLayers), isAvoided});
         }
     }
-    handlers.describe(announcement);
-    return announcement;
+    if (loads.size() > maxLoads) {
+        std::nth_element(loads.begin(), loads.begin() + maxLoads, loads.end(), [](const TargetLoad &a, const TargetLoad &b) {
+            return a.openRequests > b.openRequests;
+        });
+        loads.resize(maxLoads);
+    }
+    return loads;
 }
 
 void RelayPeers::Private::announce()
@@ -143,12 +169,6 @@
             hosts.insert(host);
         }
     }
-    for (const TargetLoad &load : announcement.loads) {
-        const Target *target = load.isAvoided ? findTarget(context.fleet, load.target) : nullptr;
-        if (target && isUsable(*target, peer.heardAt)) {
-            handlers.onAvoided(load.target);
-        }
-    }
     countLive();
     handlers.onHeard(announcement);
 }
@@ -176,7 +196,7 @@
 
 void RelayPeers::Private::countLive()
 {
-    setLiveEntries(context, 1 + static_cast<int>(live.size()));
+    noteHeardEntries(context, static_cast<int>(live.size()));
 }
 
 } // namespace Parsleytrail
--- a/src/relay/relay_peers.h
+++ b/src/relay/relay_peers.h
@@ -25,7 +25,6 @@
 public:
     struct Handlers {
         std::function<void(RelayAnnouncement &)> describe;      ///< fills in what only the relay knows of itself
-        std::function<void(const TargetId &)> onAvoided;        ///< a peer avoids a target that this relay uses
         std::function<void(const RelayAnnouncement &)> onHeard; ///< after each announcement
     };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -54,7 +54,7 @@
 
     bool takeFrame(const LinkPtr &link, const Frame &frame);
     bool takeConfiguration(const LinkPtr &link, const Frame &frame);
-    void takeDatagram(const Frame &frame);
+    bool takeDatagram(const Frame &frame);
     void checkTarget();
     void describe(Announcement &announcement) const;
     TargetState state() const;
@@ -121,7 +121,7 @@
     stages = std::make_unique<Stages>(*context, *engine);
     calls = std::make_unique<Calls>(*context);
     datagrams = std::make_unique<Datagrams>(loop, wireVersion, [this](const Frame &frame, const Address &) {
-        takeDatagram(frame);
+        return takeDatagram(frame);
     });
     announcer = std::make_unique<Announcer>(*context, *store, *datagrams, std::move(seeds), [this](Announcement &announcement) {
         describe(announcement);
@@ -204,12 +204,11 @@
     return true;
 }
 
-void Sidecar::Private::takeDatagram(const Frame &frame)
+bool Sidecar::Private::takeDatagram(const Frame &frame)
 {
-    EntryAnnouncement entry;
-    if (frame.message == EntryAnnouncement::messageId && decodeFrame(frame, entry)) {
-        announcer->heardEntry(entry);
-    }
+    return frame.message == EntryAnnouncement::messageId && decodeAnd<EntryAnnouncement>(frame, [this](const EntryAnnouncement &entry) {
+               announcer->heardEntry(entry);
+           });
 }
 
 // [SECTION] Announcing
@@ -311,7 +310,11 @@
                    {"target", {{"address", settings.target}, {"isHealthy", isTargetHealthy}, {"checksFencing", settings.checksFencing}}},
                    {"announcedTo", entries},
                    {"store", {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}}},
-                   {"datagrams", {{"refused", datagrams->refused()}, {"bytesSent", datagrams->bytesSent()}, {"bytesReceived", datagrams->bytesReceived()}}},
+                   {"datagrams",
+                    {{"refused", datagrams->refused()},
+                     {"unsent", datagrams->unsent()},
+                     {"bytesSent", datagrams->bytesSent()},
+                     {"bytesReceived", datagrams->bytesReceived()}}},
                    {"linksToSidecars", peers->size()}};
     if (isApplication) {
         result["service"] = settings.service;
--- a/src/wire/archive.h
+++ b/src/wire/archive.h
@@ -59,6 +59,9 @@
     }
 };
 
+constexpr std::size_t maxNameBytes = 256;      ///< ids and names in messages
+constexpr std::size_t maxListItemBytes = 1024; ///< strings in lists
+
 /// Writes values of messages.
 class Writer
 {
@@ -75,15 +78,15 @@
     {
         m_archive(number);
     }
-    void value(const std::string &text)
+    void value(const std::string &text, std::size_t limit)
     {
-        m_archive(static_cast<std::uint32_t>(text.size()));
+        size(text.size(), limit);
         m_archive(cereal::binary_data(text.data(), text.size()));
     }
     template<typename Tag>
     void value(const Name<Tag> &name)
     {
-        value(name.value);
+        value(name.value, maxNameBytes);
     }
     template<typename Tag, typename Rep>
     void value(const Number<Tag, Rep> &number)
@@ -96,36 +99,45 @@
         value(static_cast<std::uint8_t>(item));
     }
     template<typename Rep>
-    void numbers(const std::vector<Rep> &items)
+    void numbers(const std::vector<Rep> &items, std::size_t limit)
     {
-        m_archive(static_cast<std::uint32_t>(items.size()));
+        size(items.size(), limit);
         m_archive(cereal::binary_data(items.data(), items.size() * sizeof(Rep)));
     }
-    void list(const std::vector<std::string> &items)
+    void list(const std::vector<std::string> &items, std::size_t limit)
     {
-        m_archive(static_cast<std::uint32_t>(items.size()));
+        size(items.size(), limit);
         for (const std::string &item : items) {
-            value(item);
+            value(item, maxListItemBytes);
         }
     }
     template<typename Item>
-    void list(const std::vector<Item> &items)
+    void list(const std::vector<Item> &items, std::size_t limit)
     {
-        m_archive(static_cast<std::uint32_t>(items.size()));
+        size(items.size(), limit);
         for (const Item &item : items) {
             writeStruct(*this, item);
         }
     }
+    /// Whether all sizes were within the limits that a reader checks.
+    bool isWhole() const
+    {
+        return m_isWhole;
+    }
 
 private:
+    void size(std::size_t count, std::size_t limit)
+    {
+        m_isWhole = m_isWhole && count <= limit;
+        m_archive(static_cast<std::uint32_t>(count));
+    }
+
+    bool m_isWhole = true;
     StringOutput m_buffer;
     std::ostream m_stream;
     cereal::PortableBinaryOutputArchive m_archive;
 };
 
-constexpr std::size_t maxNameBytes = 256;      ///< ids and names in messages
-constexpr std::size_t maxListItemBytes = 1024; ///< strings in lists
-
 /// Reads values of messages; throws cereal::Exception on anything malformed or over a limit.
 class Reader
 {
--- a/src/wire/datagrams.cpp
+++ b/src/wire/datagrams.cpp
@@ -1,5 +1,7 @@
 #include "wire/datagrams.h"
 
+#include "base/log.h"
+
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <event2/util.h>
@@ -8,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cstring>
 
 namespace Parsleytrail
@@ -20,6 +23,7 @@
     int socket = -1;
     event *readable = nullptr;
     std::uint64_t refused = 0;
+    std::uint64_t unsent = 0;
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
 
@@ -40,16 +44,26 @@
 
     void take(const unsigned char *bytes, std::size_t size, const sockaddr_in &from)
     {
+        char host[INET_ADDRSTRLEN] = "";
+        inet_ntop(AF_INET, &from.sin_addr, host, sizeof host);
+        const Address sender{host, ntohs(from.sin_port)};
         FrameHeader header;
         const bool isWhole = size >= frameHeaderBytes && readHeader(bytes, maxDatagramBytes, header) && size == frameHeaderBytes + header.bytes;
         if (!isWhole) {
-            ++refused;
-            return;
+            return noteDropped(Event::DatagramRefused, ++refused, sender, "header", 0);
         }
         const auto *payload = reinterpret_cast<const char *>(bytes + frameHeaderBytes);
-        char host[INET_ADDRSTRLEN] = "";
-        inet_ntop(AF_INET, &from.sin_addr, host, sizeof host);
-        handler({std::min(header.version, wireVersion), header.message, {payload, header.bytes}}, {host, ntohs(from.sin_port)});
+        if (!handler({std::min(header.version, wireVersion), header.message, {payload, header.bytes}}, sender)) {
+            noteDropped(Event::DatagramRefused, ++refused, sender, "not understood", header.message);
+        }
+    }
+
+    /// Logs the first, second, fourth, ... of what may come without end.
+    static void noteDropped(Event event, std::uint64_t count, const Address &peer, const char *reason, std::uint16_t message)
+    {
+        if (std::has_single_bit(count)) {
+            logEvent(event, {{"peer", peer.toString()}, {"reason", reason}, {"message", std::to_string(message)}, {"count", std::to_string(count)}});
+        }
     }
 };
 
@@ -97,6 +111,16 @@
     sendto(d->socket, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT, reinterpret_cast<const sockaddr *>(&target), sizeof target);
 }
 
+void Datagrams::noteUnsent(const Address &to, std::uint16_t message)
+{
+    Private::noteDropped(Event::FrameUnsent, ++d->unsent, to, "over a limit", message);
+}
+
+std::uint64_t Datagrams::unsent() const
+{
+    return d->unsent;
+}
+
 std::uint64_t Datagrams::refused() const
 {
     return d->refused;
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -42,13 +42,17 @@
 /// Fills in the header that beginFrame() made room for; the payload is everything after it.
 void endFrame(std::string &out, std::size_t start, std::uint16_t version, std::uint16_t message);
 
-/// Appends a whole frame.
+/// Appends a whole frame. Returns false, and appends nothing, if the message is over one of its limits.
 template<typename Message>
-void appendFrame(const Message &message, std::uint16_t version, std::string &out)
+[[nodiscard]] bool appendFrame(const Message &message, std::uint16_t version, std::string &out)
 {
     const std::size_t start = beginFrame(out);
-    encode(message, version, out);
+    if (!encode(message, version, out)) {
+        out.resize(start);
+        return false;
+    }
     endFrame(out, start, version, Message::messageId);
+    return true;
 }
 
 /// Decodes a frame's payload as `Message`.
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -88,6 +88,11 @@
     return d->sendBuffer;
 }
 
+void Link::noteUnsent(std::uint16_t message) const
+{
+    logEvent(Event::FrameUnsent, {{"peer", d->peerName}, {"message", std::to_string(message)}, {"reason", "over a limit"}});
+}
+
 void Link::endSend()
 {
     if (!d->bev) {
--- a/src/wire/link.h
+++ b/src/wire/link.h
@@ -42,13 +42,16 @@
 public:
     ~Link();
 
-    /// Sends a message; dropped if the link is closed.
+    /// Sends a message; dropped if the link is closed, or, with a line in the log, if the message is over one of its limits.
     template<typename Message>
     void send(const Message &message)
     {
         std::string &buffer = beginSend();
-        appendFrame(message, wireVersion(), buffer);
-        endSend();
+        if (appendFrame(message, wireVersion(), buffer)) {
+            endSend();
+        } else {
+            noteUnsent(Message::messageId);
+        }
     }
     /// Closes without calling onClosed.
     void close();
@@ -67,6 +70,7 @@
     Link();
     std::string &beginSend();
     void endSend();
+    void noteUnsent(std::uint16_t message) const;
     std::uint16_t wireVersion() const;
 
     std::unique_ptr<Private> d;
--- a/tests/fuzz_frames.cpp
+++ b/tests/fuzz_frames.cpp
@@ -14,7 +14,9 @@
     }
     // What was decoded can be written and read again.
     std::string again;
-    encode(message, version, again);
+    if (!encode(message, version, again)) {
+        std::abort(); // a writer refuses what its reader takes
+    }
     Message back;
     if (!decode(again, version, back)) {
         __builtin_trap();
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -33,7 +33,7 @@
 std::string encoded(const OpenStage &open, std::uint16_t version)
 {
     std::string bytes;
-    encode(open, version, bytes);
+    BOOST_REQUIRE(encode(open, version, bytes));
     return bytes;
 }
 
@@ -92,7 +92,7 @@
 std::string framed(const Message &message)
 {
     std::string bytes;
-    appendFrame(message, currentWireVersion, bytes);
+    BOOST_REQUIRE(appendFrame(message, currentWireVersion, bytes));
     return bytes;
 }
 
@@ -124,6 +124,22 @@
     BOOST_TEST(older.maxTokens == 9u);
 }
 
+/// Guards against messages that every reader drops without a word, once a list outgrows its limit.
+BOOST_AUTO_TEST_CASE(no_encoder_writes_what_its_reader_refuses)
+{
+    RelayAnnouncement announcement;
+    announcement.peers.assign(64, "10.1.0.40");
+    std::string bytes;
+    BOOST_TEST(appendFrame(announcement, currentWireVersion, bytes));
+    const std::string fitting = bytes;
+    announcement.peers.emplace_back("10.1.0.41");
+    BOOST_TEST(!appendFrame(announcement, currentWireVersion, bytes));
+    BOOST_TEST(bytes == fitting);
+    announcement.peers.clear();
+    announcement.host.assign(65, '1');
+    BOOST_TEST(!encode(announcement, currentWireVersion, bytes));
+}
+
 BOOST_AUTO_TEST_CASE(cut_messages_are_refused)
 {
     const std::string whole = encoded(exampleOpen(), currentWireVersion);
@@ -156,7 +172,7 @@
     ActivationFrame frame;
     frame.request.value = "r";
     std::string bytes;
-    encode(frame, currentWireVersion, bytes);
+    BOOST_REQUIRE(encode(frame, currentWireVersion, bytes));
     for (std::size_t i = bytes.size() - 4; i < bytes.size(); ++i) {
         bytes[i] = '\xff';
     }
@@ -221,10 +237,13 @@
 {
     EventLoop loop;
     int taken = 0;
-    Datagrams receiver(loop, currentWireVersion, [&taken](const Frame &, const Address &) {
+    Datagrams receiver(loop, currentWireVersion, [&taken](const Frame &frame, const Address &) {
         ++taken;
+        return frame.message == LoadReport::messageId;
+    });
+    Datagrams sender(loop, currentWireVersion, [](const Frame &, const Address &) {
+        return false;
     });
-    Datagrams sender(loop, currentWireVersion, [](const Frame &, const Address &) {});
     LinkFixture ports; // a free number
     BOOST_REQUIRE(receiver.bind(ports.address));
     BOOST_REQUIRE(sender.bind({"127.0.0.1", 0}));
@@ -237,6 +256,10 @@
         sendto(raw, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&to), sizeof to);
     }
     close(raw);
+    SuspicionNotice large;
+    large.crashes.resize(65);
+    sender.send(ports.address, large);
+    BOOST_TEST(sender.unsent() == 1u);
     sender.send(ports.address, LoadReport{});
     BOOST_TEST(loop.runUntil(
         [&] {
@@ -244,6 +267,13 @@
         },
         milliseconds(20000)));
     BOOST_TEST(receiver.refused() == 3u);
+    sender.send(ports.address, CloseStream{});
+    BOOST_TEST(loop.runUntil(
+        [&] {
+            return taken == 2;
+        },
+        milliseconds(20000)));
+    BOOST_TEST(receiver.refused() == 4u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
