--- a/tests/load_exchange_test.cpp
+++ b/tests/load_exchange_test.cpp
@@ -149,14 +149,18 @@
             return !entry.isRunning || othersOf(entry.exchange, m_now).entries.entries + 1 == running();
         });
     }
-    /// Runs until isWhole(); the time it took, or a minute.
+    /// Runs until the fleet is whole and stays so for a second; the time until then, at most a minute.
     milliseconds timeUntilWhole()
     {
+        constexpr int lookings = 10;
         const TimePoint begin = m_now;
-        while (!isWhole() && m_now - begin < std::chrono::seconds(60)) {
+        TimePoint wholeSince = m_now;
+        for (int wholeInRow = 0; wholeInRow < lookings && m_now - begin < std::chrono::seconds(60);) {
+            wholeInRow = isWhole() ? wholeInRow + 1 : 0;
+            wholeSince = wholeInRow <= 1 ? m_now : wholeSince;
             run(milliseconds(100));
         }
-        return std::chrono::duration_cast<milliseconds>(m_now - begin);
+        return std::chrono::duration_cast<milliseconds>(wholeSince - begin);
     }
     std::size_t aggregators() const
     {
