Chains stay in the data centre of their entry first; reports every 100 ms, far targets in turns

Cause: 68 entries choose by the same news, which is up to 400 ms old since it goes through aggregators.

Kept: 60 ms, 0.2, 100 ms.

Test: 70 entries with news 300 ms old (2.25 times the mean at one engine before, under 1.5 now).

--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -56,9 +56,10 @@
     double crossHopMs = 400;
     /// Whether chains may cross between data centres; see policy/crossing.h.
     bool mayCross = true;
-    /// A chain that begins in another data centre than the entry: only bytes of events cross. Less than what one more
-    /// request costs on a busy chain, so that load spreads over data centres before it queues.
-    double remoteStartMs = 1.0;
+    /// A chain that begins in another data centre than the entry. Only bytes of events cross, but the choice rests on news
+    /// that all entries share and that is some hundred milliseconds old: entries of all data centres would choose the same
+    /// few engines until they hear of each other. More than a loaded chain costs, so that the own data centre goes first.
+    double remoteStartMs = 60;
     /// Added for a part whose KV cache would be full, falling with the square of the fill.
     double kvPressureMs = 12;
     /// Share of an engine's KV cache that is planned for. Answers are longer than expected half of the time; an engine
@@ -69,8 +70,8 @@
     double slotLimit = 0.95;
     /// Factor on the cost of a part that a running request already has: a new part reads all tokens so far.
     double keptPartFactor = 0.3;
-    /// Random share added to each cost, so that entries with equal views do not all choose the same engine.
-    double jitter = 0.05;
+    /// Random share added to each cost, so that entries of a data centre, whose views are equal, do not all choose the same engine.
+    double jitter = 0.2;
 };
 
 /// KV cache of an engine, tokens x layers.
--- a/src/policy/load_exchange.cpp
+++ b/src/policy/load_exchange.cpp
@@ -160,6 +160,36 @@
     return refs;
 }
 
+/// Whether a digest tells of a target.
+static bool isTold(const LoadExchange &exchange, const GroupDigest &digest, std::uint32_t target)
+{
+    const bool isNearTarget = std::binary_search(exchange.nearTargets.begin(), exchange.nearTargets.end(), target);
+    return isNearTarget || (digest.turns > 0 && target % digest.turns == digest.turn);
+}
+
+static LoadTable toldOf(const LoadExchange &exchange, const LoadTable &loads, const GroupDigest &digest)
+{
+    LoadTable told;
+    for (const auto &[target, sum] : loads) {
+        if (isTold(exchange, digest, target)) {
+            told[target] = sum;
+        }
+    }
+    return told;
+}
+
+/// Takes the loads of a digest for those that it tells of.
+static void takeLoads(LoadExchange &exchange, const GroupDigest &digest)
+{
+    const bool isFull = digest.loads.size() >= maxToldLoads;
+    std::erase_if(exchange.heard, [&](const auto &load) {
+        return !isFull && isTold(exchange, digest, load.first);
+    });
+    for (const EngineLoad &load : digest.loads) {
+        exchange.heard[load.target] = {load.openRequests, load.avoiding, static_cast<double>(load.kvTokenLayers)};
+    }
+}
+
 /// The answer to a member.
 static GroupDigest digestFor(LoadExchange &exchange, const EntryReport &report, TimePoint now)
 {
@@ -167,16 +197,18 @@
     digest.deputy = deputyOf(exchange);
     digest.isWatching = exchange.isWatching && !exchange.own.isStoreLost;
     digest.aggregators = aggregatorsInTurn(exchange, maxToldToMembers);
+    digest.turns = farTurns;
+    digest.turn = static_cast<std::uint32_t>(report.sequence % farTurns);
     if (isTakingOver(exchange, now)) {
         digest.others = exchange.digest.last.others;
-        digest.loads = exchange.digest.last.loads;
+        digest.loads = listLoads(toldOf(exchange, exchange.heard, digest), maxToldLoads);
         return digest;
     }
     digest.others = viewWithout(exchange, report.sender.entry);
     LoadTable others = exchange.loads;
     removeLoads(others, report.loads);
     addLoads(others, exchange.own.loads);
-    digest.loads = listLoads(others, maxToldLoads);
+    digest.loads = listLoads(toldOf(exchange, others, digest), maxToldLoads);
     return digest;
 }
 
@@ -225,7 +257,7 @@
     }
     if (hasDigest(exchange, now)) {
         view.entries = exchange.digest.last.others;
-        view.loads = exchange.digest.last.loads;
+        view.loads = listLoads(exchange.heard, exchange.heard.size());
         view.isFollowed = exchange.digest.last.isWatching && exchange.digest.last.sender.entry == exchange.aggregator.entry;
     }
     return view;
@@ -272,8 +304,8 @@
         // Until the first answer comes, what was known counts on.
         GroupDigest known;
         known.others = viewWithout(exchange, exchange.self.entry);
-        known.loads = listLoads(exchange.loads, maxToldLoads);
         exchange.digest = {known, now};
+        exchange.heard = exchange.loads;
     }
     exchange.aggregator = aggregator;
     exchange.answeredAt = now;
@@ -423,7 +455,7 @@
     for (const auto &[host, at] : exchange.contacts) {
         hosts.insert(host);
     }
-    constexpr std::uint64_t ticksBetweenTries = 3;
+    constexpr std::uint64_t ticksBetweenTries = 6;
     const std::string tried = exchange.ticks % ticksBetweenTries == 0 ? hostToTry(exchange) : std::string();
     if (!tried.empty()) {
         hosts.insert(tried);
@@ -442,6 +474,7 @@
     exchange.own.configurationChange = state.configurationChange;
     exchange.own.targetsChange = state.targetsChange;
     exchange.own.loads = state.loads;
+    exchange.nearTargets = state.nearTargets;
 }
 
 ExchangeMessages tick(LoadExchange &exchange, const EntryState &state, TimePoint now)
@@ -453,6 +486,10 @@
     dropSilent(exchange, now);
     leaveSilentAggregator(exchange, now);
     chooseAggregator(exchange, now);
+    const std::size_t stride = 1 + exchange.nearTargets.size() / nearTargetsAnInterval;
+    if (exchange.ticks % stride != 0) {
+        return {};
+    }
     if (!isAggregator(exchange)) {
         return {{exchange.aggregator.host, makeReport(exchange)}};
     }
@@ -600,6 +637,7 @@
         return {};
     }
     if (isTaken) {
+        takeLoads(exchange, digest);
         exchange.digest = {digest, now};
         exchange.answeredAt = now;
         remember(exchange, digest.sender.host, now);
--- a/src/policy/load_exchange.h
+++ b/src/policy/load_exchange.h
@@ -25,8 +25,12 @@
 namespace Parsleytrail
 {
 
-/// Between reports. Load moves by some requests in this time, a small part of what an engine holds.
-constexpr milliseconds exchangeInterval{200};
+/// Between reports. All entries of a data centre choose by the same news: with old news they all choose the same engines.
+constexpr milliseconds exchangeInterval{100};
+/// With more targets than this in a data centre, reports are as much rarer as its list is longer.
+constexpr std::size_t nearTargetsAnInterval = 64;
+/// News of other data centres is told in turns: requests go there only if their own has no room.
+constexpr std::uint32_t farTurns = 4;
 /// An aggregator that did not answer for this long is left: three reports or answers lost in a row.
 constexpr milliseconds answerTimeout{700};
 /// It is not tried again before: time to come back or to be replaced.
@@ -52,13 +56,14 @@
 
 /// What an entry tells of itself.
 struct EntryState {
-    bool isStoreLost = false;              ///< the store does not answer it
-    bool isDraining = false;               ///< it is stopping
-    bool isOrdering = false;               ///< it gives engines orders
-    bool isWatching = false;               ///< it follows the tables of the store itself
-    std::uint64_t configurationChange = 0; ///< newest change of the configuration table that it knows
-    std::uint64_t targetsChange = 0;       ///< the same of the target table
-    std::vector<EngineLoad> loads;         ///< targets with load of it, or avoided by it
+    bool isStoreLost = false;               ///< the store does not answer it
+    bool isDraining = false;                ///< it is stopping
+    bool isOrdering = false;                ///< it gives engines orders
+    bool isWatching = false;                ///< it follows the tables of the store itself
+    std::uint64_t configurationChange = 0;  ///< newest change of the configuration table that it knows
+    std::uint64_t targetsChange = 0;        ///< the same of the target table
+    std::vector<EngineLoad> loads;          ///< targets with load of it, or avoided by it
+    std::vector<std::uint32_t> nearTargets; ///< keys of all targets of its data centre, ascending
 };
 
 /// A message to be sent.
@@ -90,7 +95,9 @@
     EntryRef aggregator;                           ///< reported to; no id: this entry aggregates its group
     TimePoint answeredAt{};                        ///< when it last answered, or was chosen
     TimePoint aggregatesSince{};                   ///< when this entry began to aggregate its group
+    std::vector<std::uint32_t> nearTargets;        ///< see EntryState
     Heard<GroupDigest> digest;                     ///< its last answer
+    LoadTable heard;                               ///< what digests told of the others
     std::map<EntryId, Heard<EntryReport>> members; ///< of the own group, if this entry aggregates it
     std::map<EntryId, Heard<GroupSummary>> groups; ///< other groups
     LoadTable loads;                               ///< of members and groups
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -75,13 +75,17 @@
 {
     const TimePoint now = context.clock.now();
     LoadTable loads;
+    EntryState state;
     for (const auto &[id, target] : context.fleet.targets) {
+        if (target.listed.dataCenter == context.settings.dataCenter) {
+            state.nearTargets.push_back(loadKey(target.listed));
+        }
         const bool isAvoided = isFailing(target, now);
         if (target.openRequests > 0 || isAvoided) {
             loads[loadKey(target.listed)] = {target.openRequests, isAvoided ? 1 : 0, target.kvTokenLayers};
         }
     }
-    EntryState state;
+    std::sort(state.nearTargets.begin(), state.nearTargets.end());
     state.loads = listLoads(loads, maxToldLoads);
     handlers.describe(state);
     return state;
--- a/tests/chain_choice_test.cpp
+++ b/tests/chain_choice_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <set>
 
 using namespace Parsleytrail;
@@ -284,4 +285,85 @@
     BOOST_TEST((chain[1].id != dead));
 }
 
+/// Most streams that any engine holds against the mean, when many entries choose by the same old news.
+static double crowdingByOldNews(milliseconds newsAge, const ChainTuning &tuning)
+{
+    constexpr int dataCenters = 5;
+    constexpr int entries = 70;
+    constexpr int enginesEach = 3;
+    constexpr milliseconds step{20};
+    constexpr milliseconds streamTime{2000};
+    constexpr milliseconds between{200}; // two streams of one entry
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    std::vector<TargetId> engines;
+    for (int i = 0; i < dataCenters * enginesEach; ++i) {
+        engines.push_back(builder.add("dc-" + std::to_string(i % dataCenters), {0, 80}, "huge"));
+    }
+    struct Open {
+        TimePoint endsAt;
+        int entry;
+        TargetId engine;
+    };
+    std::vector<Open> open;
+    std::vector<std::map<TargetId, int>> own(entries);
+    std::map<TargetId, int> all;
+    std::map<TargetId, int> told;
+    std::vector<std::map<TargetId, int>> ownTold(entries);
+    std::mt19937_64 random(1);
+    double worst = 0;
+    TimePoint toldAt = start;
+    for (TimePoint now = start; now < start + std::chrono::seconds(8); now += step) {
+        for (const Open &one : open) {
+            if (one.endsAt <= now) {
+                --own[one.entry][one.engine];
+                --all[one.engine];
+            }
+        }
+        std::erase_if(open, [now](const Open &one) {
+            return one.endsAt <= now;
+        });
+        if (now - toldAt >= newsAge) {
+            toldAt = now;
+            told = all;
+            ownTold = own;
+        }
+        for (int entry = 0; entry < entries; ++entry) {
+            if ((entry * step + (now - start)) % between != milliseconds(0)) {
+                continue;
+            }
+            for (const TargetId &id : engines) {
+                Target &target = *findTarget(builder.fleet, id);
+                target.openRequests = own[entry][id];
+                target.peersOpenRequests = told[id] - ownTold[entry][id];
+                target.kvTokenLayers = own[entry][id] * 1000.0 * model.layers;
+                target.peersKvTokenLayers = target.peersOpenRequests * 1000.0 * model.layers;
+            }
+            const std::string dataCenter = "dc-" + std::to_string(entry % dataCenters);
+            const std::vector<ChainPart> chain = chooseChain(builder.fleet, situationIn(model, dataCenter), {900, 200}, random, tuning);
+            BOOST_REQUIRE(!chain.empty());
+            ++own[entry][chain.front().id];
+            ++all[chain.front().id];
+            open.push_back({now + streamTime, entry, chain.front().id});
+        }
+        if (now > start + streamTime) {
+            for (const TargetId &id : engines) {
+                worst = std::max(worst, static_cast<double>(all[id]) * static_cast<double>(engines.size()) / static_cast<double>(open.size()));
+            }
+        }
+    }
+    return worst;
+}
+
+/// Guards against entries of all data centres that choose the same engines until news of their choice comes.
+BOOST_AUTO_TEST_CASE(entriesWithTheSameOldNewsDoNotCrowd)
+{
+    const double crowding = crowdingByOldNews(milliseconds(300), {});
+    BOOST_TEST(crowding <= 1.5, "an engine held " << crowding << " times the mean");
+    ChainTuning everywhere;
+    everywhere.remoteStartMs = 1;
+    everywhere.jitter = 0.05;
+    BOOST_TEST_MESSAGE("without preference for the own data centre: " << crowdingByOldNews(milliseconds(300), everywhere));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/load_exchange_test.cpp
+++ b/tests/load_exchange_test.cpp
@@ -265,6 +265,9 @@
         for (const auto &[target, load] : loads) {
             fleet.at(i).state.loads.push_back(load);
         }
+        for (auto target = static_cast<std::uint32_t>(i) % dataCenters; target < static_cast<std::uint32_t>(engines); target += dataCenters) {
+            fleet.at(i).state.nearTargets.push_back(target);
+        }
     }
 }
 
@@ -352,6 +355,10 @@
         fleet.run(std::chrono::seconds(8));
         // One entry changes its load at one target all the time; each value tells when it was set.
         constexpr std::uint32_t target = 7;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            const bool isNear = fleet.at(i).exchange.self.dataCenter == fleet.at(size.dataCenters == 3 ? 0 : 3 * size.dataCenters).exchange.self.dataCenter;
+            fleet.at(i).state.nearTargets = isNear ? std::vector<std::uint32_t>{target} : std::vector<std::uint32_t>{};
+        }
         const TimePoint begin = fleet.now();
         const std::size_t teller = size.dataCenters == 3 ? 0 : 3 * size.dataCenters;
         milliseconds oldestNear{0};
