--- a/src/policy/first_plan.cpp
+++ b/src/policy/first_plan.cpp
@@ -67,10 +67,20 @@
     return dealt;
 }
 
-/// How many whole copies a group should hold.
+/// What a number of whole copies is worth: streams that run at once, limited by KV cache and by the slots of first engines,
+/// and those that still do once an engine of one copy is lost, with whose layers that copy is.
 ///
-/// With two, an engine that dies leaves no gap, and each copy's first engine takes requests. With one more than leaves KV
-/// cache for the streams that one first engine takes, the cache binds, and prompts are read again and again.
+/// With two copies an engine that dies leaves no gap, and each copy's first engine takes requests. One copy too many takes
+/// the KV cache of the others: each loss then makes a data centre too small for its callers, and prompts are read again.
+static double worthOfCopies(double memoryMb, double copyMb, double streamMb, double slots, int copies)
+{
+    const double cached = std::max(0.0, memoryMb - copies * copyMb) / streamMb;
+    const double streams = std::min(cached, copies * slots);
+    const double streamsAfterLoss = streams * (copies - 1) / copies;
+    return streams + streamsAfterLoss;
+}
+
+/// How many whole copies a group should hold.
 static int copiesToHold(const EngineModel &model, const EngineGroup &group, const PlacementTuning &tuning)
 {
     const double memory = groupMemory(model, group);
@@ -79,7 +89,18 @@
     if (streamMb <= 0 || model.batchSlots <= 0) {
         return std::max(1, static_cast<int>(memory * tuning.layerShare / copyMb));
     }
-    return std::max(1, static_cast<int>((memory - streamMb * model.batchSlots) / copyMb));
+    // What the streams of one first engine need is never given to a copy.
+    const int most = static_cast<int>((memory - streamMb * model.batchSlots) / copyMb);
+    int best = 1;
+    double bestWorth = 0;
+    for (int copies = 1; copies <= most; ++copies) {
+        const double worth = worthOfCopies(memory, copyMb, streamMb, model.batchSlots, copies);
+        if (worth > bestWorth) {
+            best = copies;
+            bestWorth = worth;
+        }
+    }
+    return best;
 }
 
 void planFirst(const EngineModel &model, const EngineGroup &group, const PlacementTuning &tuning, std::vector<PlacementOrder> &orders)
--- a/src/relay/connection.cpp
+++ b/src/relay/connection.cpp
@@ -350,6 +350,18 @@
     return {};
 }
 
+void Listener::setAccepting(bool isAccepting)
+{
+    if (!d->raw) {
+        return;
+    }
+    if (isAccepting) {
+        evconnlistener_enable(d->raw);
+    } else {
+        evconnlistener_disable(d->raw);
+    }
+}
+
 std::uint16_t Listener::port() const
 {
     sockaddr_in local{};
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -79,6 +79,8 @@
     ~Listener();
     /// Fails with the step "listen".
     Result<void> listen(const Address &address);
+    /// Connections that come while it does not accept wait in the system's queue.
+    void setAccepting(bool isAccepting);
     /// Port that was taken.
     std::uint16_t port() const;
     void close();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -36,6 +36,10 @@
 /// answer of the store takes a fraction of a second, but callers come back once only, and may be early: a request that
 /// was refused is late in any case.
 constexpr milliseconds unknownRetryAfter{2000};
+/// Callers whose process died come back to the new one within milliseconds, and once only; refused, they are lost, while it
+/// reads its configuration in a fraction of a second. Their connections wait so long; callers abandon a request that is not
+/// read for a second.
+constexpr milliseconds startPatience{800};
 constexpr milliseconds budgetTick{1000}; ///< how often this entry's parts of budgets are adapted
 
 /// A stalled stream's engines are asked for this long after the threshold; later its first engine is asked what it waits for.
@@ -61,6 +65,7 @@
     std::unique_ptr<Timer> leaveTick{};
     std::unique_ptr<Timer> drainTimer{};
     std::unique_ptr<Timer> budgetTimer{};
+    std::unique_ptr<Timer> startTimer{};      ///< until connections are accepted though the configuration is not known
     std::vector<ForwardingPtr> forwardings{}; ///< in the order in which they came, so that a run repeats
     std::function<void()> finished{};
     TimePoint drainStartedAt{};
@@ -77,6 +82,7 @@
     void moveStream(const std::string &attemptId, const std::vector<ChainPart> &chain, std::function<void(bool)> done);
     void moveFrom(const TargetId &dead);
     bool isReady();
+    void acceptIfComplete();
     bool mayOrder();
     bool isDutyDoneElsewhere() const;
     void planSoon();
@@ -252,6 +258,14 @@
     return isReadyNow;
 }
 
+void Relay::Private::acceptIfComplete()
+{
+    if (startTimer->isRunning() && registry->isComplete()) {
+        startTimer->stop();
+        listener->setAccepting(true);
+    }
+}
+
 // [SECTION] Duty
 
 /// Those of the others whose word counts: the first of them, and the first that gives orders.
@@ -343,6 +357,9 @@
     data.drainTimer = std::make_unique<Timer>(loop, [&data] {
         data.checkDrain();
     });
+    data.startTimer = std::make_unique<Timer>(loop, [&data] {
+        data.listener->setAccepting(true);
+    });
     data.budgetTimer = std::make_unique<Timer>(loop, [&data] {
         updateBudgetParts(data.context);
     });
@@ -401,11 +418,15 @@
     });
     BOOST_LEAF_CHECK(data.peerServer->listen({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
     BOOST_LEAF_CHECK(data.listener->listen(callerAddress));
+    data.listener->setAccepting(false);
+    data.startTimer->start(startPatience);
     Registry::Handlers handlers;
     handlers.onRoutes = [&data] {
         data.takeRoutes();
+        data.acceptIfComplete();
     };
     handlers.onTargets = [&data] {
+        data.acceptIfComplete();
         data.planSoon();
     };
     data.registry = std::make_unique<Registry>(data.context, data.client, store, std::move(handlers));
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -217,6 +217,18 @@
     BOOST_TEST(layers == model.layers);
 }
 
+/// Guards against a third copy that takes the KV cache of the other two: each loss then left a data centre too small for its callers.
+BOOST_AUTO_TEST_CASE(aCopyThatLeavesFewerStreamsAfterALossIsNotHeld)
+{
+    const EngineModel model = servedModel();
+    std::vector<PlacedEngine> engines = makeEngines("a", {{"large", 3}, {"middle", 9}, {"small", 14}});
+    carryOut(engines, planPlacement(model, engines));
+    BOOST_TEST(fewestHolders(model, engines) == 2);
+    std::vector<PlacedEngine> larger = makeEngines("a", {{"huge", 2}, {"large", 2}, {"middle", 15}, {"small", 7}});
+    carryOut(larger, planPlacement(model, larger));
+    BOOST_TEST(fewestHolders(model, larger) == 3);
+}
+
 /// KV cache for each layer that an engine holds, or would hold with some more, MB.
 double cacheMbPerLayer(const EngineModel &model, const PlacedEngine &engine, int more = 0)
 {
--- a/tests/relay_calls_test.cpp
+++ b/tests/relay_calls_test.cpp
@@ -504,6 +504,25 @@
     BOOST_TEST(!call->field("Retry-After").empty());
 }
 
+/// Guards against callers of a process that died who come back to the new one, are refused at once and lost.
+BOOST_AUTO_TEST_CASE(aRequestThatComesWithTheStartIsServedOnceTheConfigurationIsKnown)
+{
+    RelaySystem system;
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    system.stopRelay(0);
+    system.store().faults().isDown = true;
+    system.startRelay(0);
+    const RawCallPtr call = system.call("GET", "/read/x", "id-1");
+    system.idle(milliseconds(100));
+    BOOST_TEST(call->status() == 0);
+    system.store().faults().isDown = false;
+    system.wait("answer", [&] {
+        return call->isWhole();
+    });
+    BOOST_TEST(call->status() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(whileTheStoreIsAwayWhatIsKnownIsServedAndWhatIsNotIsNotDenied)
 {
     RelaySystem system;
