--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -12,6 +12,7 @@
     double stepMsPerLayer = 0;      ///< expected time of one layer of a pass
     double kvRoom = 0;              ///< tokens x layers
     double kvFill = 0;              ///< 0 empty to 1 full
+    double avoidedMs = 0;           ///< added because other entries avoid it
     bool isFullAsFirst = false;     ///< takes no more requests from entries; parts of chains that began elsewhere it does
     std::size_t dataCenter = 0;     ///< index
 };
@@ -70,6 +71,7 @@
         const double used = target.kvTokenLayers + target.peersKvTokenLayers;
         candidate.kvRoom = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
+        candidate.avoidedMs = target.peersAvoiding > 0 ? tuning.avoidedByPeersMs : 0;
         candidate.isFullAsFirst = target.listed.slots > 0 && open >= target.listed.slots * tuning.slotLimit;
         candidate.dataCenter = indexOf(dataCenters, target.listed.dataCenter);
         candidates.push_back(candidate);
@@ -143,7 +145,8 @@
         const Candidate &candidate = candidates[index];
         const LayerRange &held = candidate.target->listed.layers;
         const std::size_t fromState = stateAt(boundary, dataCenter);
-        const double base = states[fromState].cost + hopCost(boundary, dataCenter, candidate) + tuning.kvPressureMs * candidate.kvFill * candidate.kvFill;
+        const double pressure = tuning.kvPressureMs * candidate.kvFill * candidate.kvFill;
+        const double base = states[fromState].cost + hopCost(boundary, dataCenter, candidate) + pressure + candidate.avoidedMs;
         for (std::size_t next = boundary + 1; next < boundaries.size() && boundaries[next] <= held.to; ++next) {
             const bool isEnd = boundaries[next] == held.to;
             const int layers = boundaries[next] - boundaries[boundary];
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -62,6 +62,9 @@
     double remoteStartMs = 60;
     /// Added for a part whose KV cache would be full, falling with the square of the fill.
     double kvPressureMs = 12;
+    /// Added for a part at an engine that other entries avoid for now: it leaves without a word, or fails. Less than the way to
+    /// another data centre, and no ban: what they saw may not concern this entry, and somebody has to find it well again.
+    double avoidedByPeersMs = 40;
     /// Share of an engine's KV cache that is planned for. Answers are longer than expected half of the time; an engine
     /// that runs out stops its newest request and reads it again.
     double kvFillLimit = 0.92;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -92,6 +92,11 @@
     return target.failuresInRow > 0 && !target.listed.isDraining && !isUsable(target, now);
 }
 
+bool isAvoided(const Target &target, TimePoint now)
+{
+    return isFailing(target, now) || (target.refusalsInRow > 0 && now < target.avoidUntil);
+}
+
 void noteAnswer(Target &target)
 {
     target.silencesInRow = 0;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -66,7 +66,7 @@
     int failuresInRow = 0;            ///< requests and questions that failed since the last request that did not
     int silencesInRow = 0;            ///< questions that it did not answer since the last that it did
     int refusalsInRow = 0;            ///< requests that it refused without running them, since the last that it took
-    int peersAvoiding = 0;            ///< other entries that found it failing, as last heard
+    int peersAvoiding = 0;            ///< other entries that give it no work for now, after failures or refusals, as last heard
     bool needsProbe = false;          ///< gets no work before it has answered a question, besides avoidUntil
     bool isReported = false;          ///< it has told ordersAccepted itself
     TimePoint reportedAt{};           ///< when it last reported; zero: never
@@ -111,10 +111,12 @@
 constexpr milliseconds firstRefusalPause{200};
 /// Longest pause after refusals in a row: the news that an engine drains is there by then.
 constexpr milliseconds longestRefusalPause{1600};
-/// Pauses work to a target that refused some. It works: other entries need not know, and its layers are not lost.
+/// Pauses work to a target that refused some. It works, and its layers are not lost.
 void noteRefusal(Target &target, TimePoint now);
-/// Whether requests or questions to it fail: other entries are told.
+/// Whether requests or questions to it fail.
 bool isFailing(const Target &target, TimePoint now);
+/// Whether it gets no work for now, after failures or refusals: other entries are told, and prefer others.
+bool isAvoided(const Target &target, TimePoint now);
 void noteSuccess(Target &target);
 /// It answered a question: it lives, though requests to it may still fail.
 void noteAnswer(Target &target);
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -80,9 +80,9 @@
         if (target.listed.dataCenter == context.settings.dataCenter) {
             state.nearTargets.push_back(loadKey(target.listed));
         }
-        const bool isAvoided = isFailing(target, now);
-        if (target.openRequests > 0 || isAvoided) {
-            loads[loadKey(target.listed)] = {target.openRequests, isAvoided ? 1 : 0, target.kvTokenLayers};
+        const bool isAvoidedHere = isAvoided(target, now);
+        if (target.openRequests > 0 || isAvoidedHere) {
+            loads[loadKey(target.listed)] = {target.openRequests, isAvoidedHere ? 1 : 0, target.kvTokenLayers};
         }
     }
     std::sort(state.nearTargets.begin(), state.nearTargets.end());
--- a/tests/chain_choice_test.cpp
+++ b/tests/chain_choice_test.cpp
@@ -285,6 +285,24 @@
     BOOST_TEST((chain[1].id != dead));
 }
 
+/// Guards against an engine that leaves without a word and is tried by each entry, at the cost of a repeat each.
+BOOST_AUTO_TEST_CASE(anEngineThatOthersAvoidIsTakenOnlyIfThereIsNoOtherNear)
+{
+    const EngineModel model = lightModel();
+    FleetBuilder builder;
+    const TargetId leaving = builder.add("a", {0, 80}, "huge");
+    const TargetId loaded = builder.add("a", {0, 80}, "huge");
+    builder.add("b", {0, 80}, "huge");
+    findTarget(builder.fleet, loaded)->openRequests = 100;
+    std::mt19937_64 random(1);
+    findTarget(builder.fleet, leaving)->peersAvoiding = 1;
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(chooseChain(builder.fleet, situationIn(model, "a"), {100, 50}, random).front().id.value == loaded.value);
+    }
+    findTarget(builder.fleet, loaded)->listed.isDraining = true;
+    BOOST_TEST(chooseChain(builder.fleet, situationIn(model, "a"), {100, 50}, random).front().id.value == leaving.value);
+}
+
 /// Most streams that any engine holds against the mean, when many entries choose by the same old news.
 static double crowdingByOldNews(milliseconds newsAge, const ChainTuning &tuning)
 {
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -102,6 +102,21 @@
     BOOST_TEST(isUsable(target, start + longestRefusalPause + firstRefusalPause));
 }
 
+/// Guards against 68 entries that each learn by a refusal of their own what the first one could have told them.
+BOOST_AUTO_TEST_CASE(aTargetThatRefusesIsToldToOthersWhileItIsAvoided)
+{
+    Target target;
+    const TimePoint now{std::chrono::seconds(10)};
+    BOOST_TEST(!isAvoided(target, now));
+    noteRefusal(target, now);
+    BOOST_TEST(isAvoided(target, now));
+    BOOST_TEST(!isFailing(target, now));
+    BOOST_TEST(!isAvoided(target, now + firstRefusalPause));
+    noteSuccess(target);
+    noteFailure(target, now);
+    BOOST_TEST(isAvoided(target, now));
+}
+
 BOOST_AUTO_TEST_CASE(anAnswerToAQuestionEndsSilenceButNotFailures)
 {
     // Requests to an engine fail while it answers questions: other engines must not take over its layers, and it is still
