--- a/src/policy/chain_choice.cpp
+++ b/src/policy/chain_choice.cpp
@@ -274,26 +274,20 @@
     return room;
 }
 
-std::vector<DataCenterRoom> roomByDataCenter(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand)
+FleetRoom roomLeft(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand)
 {
     std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): costs don't matter
     const ChainTuning tuning;
     std::vector<std::string> names;
     const std::vector<Candidate> candidates = makeCandidates(fleet, situation, random, tuning, names);
     const double tokens = std::max(1.0, plannedTokens(demand));
-    std::vector<DataCenterRoom> rooms;
+    FleetRoom room;
+    room.coversAllLayers = holdAllLayers(candidates, situation.model->layers);
     for (std::size_t dataCenter = 0; dataCenter < names.size(); ++dataCenter) {
-        rooms.push_back(roomOf(candidates, dataCenter, *situation.model, tokens, tuning));
-        rooms.back().dataCenter = names[dataCenter];
+        room.dataCenters.push_back(roomOf(candidates, dataCenter, *situation.model, tokens, tuning));
+        room.dataCenters.back().dataCenter = names[dataCenter];
     }
-    return rooms;
-}
-
-bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation)
-{
-    std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): only who holds what matters
-    std::vector<std::string> dataCenters;
-    return holdAllLayers(makeCandidates(fleet, situation, random, {}, dataCenters), situation.model->layers);
+    return room;
 }
 
 } // namespace Parsleytrail
--- a/src/policy/chain_choice.h
+++ b/src/policy/chain_choice.h
@@ -91,10 +91,11 @@
     int streams = 0;        ///< for which its narrowest layer has KV cache
     int narrowestLayer = 0; ///< that layer; the first of several
 };
-/// Room of each data centre for requests like this one; for logs.
-std::vector<DataCenterRoom> roomByDataCenter(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand);
-
-/// Whether usable engines hold all layers, full or not: tells a full fleet from one with a gap.
-bool coversAllLayers(const Fleet &fleet, const ChainSituation &situation);
+/// What is left for requests like one that found no chain.
+struct FleetRoom {
+    std::vector<DataCenterRoom> dataCenters; ///< room of each
+    bool coversAllLayers = false;            ///< usable engines hold all layers, full or not: tells a full fleet from one with a gap
+};
+FleetRoom roomLeft(const Fleet &fleet, const ChainSituation &situation, const StreamDemand &demand);
 
 } // namespace Parsleytrail
--- a/src/policy/load_exchange.h
+++ b/src/policy/load_exchange.h
@@ -39,7 +39,7 @@
 constexpr milliseconds exchangeSilence{1500};
 constexpr std::size_t maxGroupMembers = 24;   ///< bounds what an aggregator sends
 constexpr std::size_t maxToldLoads = 160;     ///< of one message: a datagram of 2 KB
-constexpr std::size_t maxGroups = 64;         ///< aggregators that one speaks to
+constexpr std::size_t maxGroups = 64;         ///< aggregators that one hears
 constexpr std::size_t maxToldAggregators = 8; ///< of one message to another group; others the next time
 constexpr std::size_t maxToldToMembers = 2;   ///< the same, to a member
 /// Messages to other groups are rarer if there are more groups: this many are sent an interval, to those told longest ago.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -200,7 +200,8 @@
         m_chain.clear();
         return;
     }
-    const bool isFull = coversAllLayers(m_context.fleet, situation);
+    const FleetRoom room = roomLeft(m_context.fleet, situation, m_demand);
+    const bool isFull = room.coversAllLayers;
     const std::string_view reason = isFull ? "no-room" : "no-chain";
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, reason, firstTarget(), m_sent);
@@ -209,7 +210,7 @@
     std::uniform_int_distribution<std::int64_t> spread(0, roomRetrySpread.count());
     const milliseconds more(spread(m_context.random));
     const milliseconds retryAfter = isFull ? roomRetryAfter + more : gapRetryAfter + more / 2;
-    refuseRequest(m_context, m_request, {reason, retryAfter, roomText(roomByDataCenter(m_context.fleet, situation, m_demand))}, m_sent);
+    refuseRequest(m_context, m_request, {reason, retryAfter, roomText(room.dataCenters)}, m_sent);
     end();
 }
 
--- a/tests/chain_choice_test.cpp
+++ b/tests/chain_choice_test.cpp
@@ -110,7 +110,7 @@
     near.mayCross = false;
     BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random, near).empty());
     noteRemoved(builder.fleet, rest);
-    BOOST_TEST(!coversAllLayers(builder.fleet, situation));
+    BOOST_TEST(!roomLeft(builder.fleet, situation, {900, 200}).coversAllLayers);
 }
 
 BOOST_AUTO_TEST_CASE(aFullFleetIsNoGap)
@@ -124,7 +124,7 @@
     std::mt19937_64 random(1);
     const ChainSituation situation = situationIn(model, "home");
     BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
-    BOOST_TEST(coversAllLayers(builder.fleet, situation));
+    BOOST_TEST(roomLeft(builder.fleet, situation, {900, 200}).coversAllLayers);
 }
 
 BOOST_AUTO_TEST_CASE(chainsAcrossDataCentersLeaveThePipeRoom)
@@ -213,7 +213,7 @@
     target->peersKvTokenLayers = 0;
     noteFailure(*findTarget(builder.fleet, only), start);
     BOOST_TEST(chooseChain(builder.fleet, situation, {100, 50}, random).empty());
-    BOOST_TEST(!coversAllLayers(builder.fleet, situation));
+    BOOST_TEST(!roomLeft(builder.fleet, situation, {900, 200}).coversAllLayers);
 }
 
 BOOST_AUTO_TEST_CASE(anEngineTakesWhatItsStreamsHoldTogether)
@@ -315,6 +315,7 @@
     const EngineModel model = lightModel();
     FleetBuilder builder;
     std::vector<TargetId> engines;
+    engines.reserve(dataCenters * enginesEach);
     for (int i = 0; i < dataCenters * enginesEach; ++i) {
         engines.push_back(builder.add("dc-" + std::to_string(i % dataCenters), {0, 80}, "huge"));
     }
