The store's return is noticed at once, not with the next change of a table

The store was back, but nothing changed, so that the entry learned it 2 s later with the next change: the removal of a target that left. For 2.3 s after the store's return removals count as entries that lapsed, so the target got work for 2.2 s more; 2 s are allowed.

Ruled out: followers and aggregators (the entry was an aggregator that watched itself; its follower dropped the target at once).

Change: after a failure a watch does not wait. Test: fails before, passes after (3 of 3).

--- a/src/relay/table_feed.cpp
+++ b/src/relay/table_feed.cpp
@@ -192,9 +192,11 @@
 {
     isIdle = false;
     ++context.metrics.storeCalls;
-    const milliseconds wait = context.settings.storeWatch;
+    // A store that is back answers a watch at the next change only. Its return has to be known at once: for a while after it
+    // removals count as entries that lapsed, and one that comes later than that must not.
+    const milliseconds wait = failures > 0 ? milliseconds(0) : context.settings.storeWatch;
     HttpClientRequest request = isWatching ? context.dialect.watchRowsRequest(table, revision, wait) : context.dialect.readRowsRequest({table, readFrom, {}});
-    request.timeout = isWatching ? wait + watchMargin : readTimeout;
+    request.timeout = isWatching && failures == 0 ? wait + watchMargin : readTimeout;
     call = client.fetch(store, std::move(request), [this](const HttpResult &result) {
         takeAnswer(result);
     });
--- a/tests/relay_calls_test.cpp
+++ b/tests/relay_calls_test.cpp
@@ -539,6 +539,31 @@
     BOOST_TEST(unknown->status() == 503);
 }
 
+/// Guards against work for a target that left after the store's return, of which a quiet store's watch tells up to two seconds late.
+BOOST_AUTO_TEST_CASE(aTargetThatLeavesSomeTimeAfterTheStoresReturnGetsNothingMore)
+{
+    RelaySystemOptions options;
+    options.tune = [](RelaySettings &settings) {
+        settings.storeWatch = milliseconds(2000);
+    };
+    RelaySystem system(options);
+    system.addTarget("t1", answerWell);
+    system.waitReady();
+    system.waitState("\"t1\"");
+    // The watch under way ends by a change; the calls after it fail.
+    system.list("t2", "shop", {"127.0.0.1", 9});
+    system.waitState("\"t2\"");
+    system.store().faults().isDown = true;
+    system.idle(milliseconds(700));
+    system.store().faults().isDown = false;
+    constexpr milliseconds untilLapsedEntriesAreBack{2300};
+    constexpr milliseconds untilNoticed{900};
+    system.idle(untilLapsedEntriesAreBack + untilNoticed);
+    system.unlist("t1");
+    system.idle(milliseconds(400));
+    BOOST_TEST(system.relay().dumpState().find("\"t1\"") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(aRelayThatTheStoreTurnsAwayLearnsFromItsPeers)
 {
     // The store answers one relay and not the other. A key is revoked meanwhile: the relay that is turned away must learn
