Followers learn each change of the targets; libevhtp misreads a request line that comes in two parts

Change: what a relay wants stands in the body, the copy names what was asked for, and one that leaves a hole is not taken (goesOnFrom). Removals that were only noticed (a row missing in a whole copy) are told to followers. Changes are waited for 0.4 s.

--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -144,22 +144,29 @@
 }
 
 constexpr std::uint16_t copyWireVersion = 3; ///< of copies between relays
-constexpr milliseconds copyTimeout{1000};    ///< a copy is some hundred KB at most
+constexpr milliseconds copyTimeout{1000};    ///< a copy of all rows is some hundred KB at most
+constexpr milliseconds changesTimeout{400};  ///< changes are a few rows; the feed watches itself if they don't come
 
 void Registry::Private::fetchCopy(TableFeed &feed, const std::string &table, const std::string &host)
 {
     if (isCopying) {
         return;
     }
-    isCopying = true;
     HttpClientRequest request;
-    request.path = "/peer/table?name=" + table + "&after=" + std::to_string(feed.isRead() ? feed.lastChange() : 0);
-    request.timeout = copyTimeout;
+    // In the body, not in the path: libevhtp misreads a request line that comes in two parts.
+    const TableWanted wanted{table, feed.isRead() ? feed.lastChange() : 0};
+    request.method = "POST";
+    request.path = "/peer/table";
+    request.timeout = wanted.after == 0 ? copyTimeout : changesTimeout;
+    if (!encode(wanted, copyWireVersion, request.body)) {
+        return;
+    }
+    isCopying = true;
     const Address address{host, static_cast<std::uint16_t>(context.settings.peerPort)};
-    client.fetch(address, std::move(request), [this, &feed, table, host](const HttpResult &result) {
+    client.fetch(address, std::move(request), [this, &feed, table, host, after = wanted.after](const HttpResult &result) {
         isCopying = false;
         TableCopy copy;
-        const bool isCopy = result.isOk() && decode(result.body, copyWireVersion, copy) && copy.table == table;
+        const bool isCopy = result.isOk() && decode(result.body, copyWireVersion, copy) && copy.table == table && copy.after == after;
         const std::size_t changed = copy.rows.size() + copy.removed.size();
         logEvent(Event::TableCopied, {{"table", table},
                                       {"peer", host},
@@ -176,13 +183,20 @@
     });
 }
 
-std::string Registry::copyTable(const std::string &table, std::uint64_t after) const
+std::string Registry::copyTable(std::string_view wantedBytes) const
 {
-    const bool isConfiguration = table == d->context.dialect.configurationTable();
-    const bool isTargets = table == d->context.dialect.targetTable();
+    TableWanted wanted;
+    if (!decode(wantedBytes, copyWireVersion, wanted)) {
+        return {};
+    }
+    const bool isConfiguration = wanted.table == d->context.dialect.configurationTable();
+    const bool isTargets = wanted.table == d->context.dialect.targetTable();
+    if (!isConfiguration && !isTargets) {
+        return {};
+    }
+    const TableFeed &feed = isConfiguration ? *d->configuration : *d->targets;
     std::string bytes;
-    const bool isWhole = (isConfiguration || isTargets) && encode((isConfiguration ? d->configuration : d->targets)->copyRows(after), copyWireVersion, bytes);
-    return isWhole ? bytes : std::string();
+    return encode(feed.copyRows(wanted.after), copyWireVersion, bytes) ? bytes : std::string();
 }
 
 void Registry::Private::takeConfiguration(const Row &row)
--- a/src/relay/registry.h
+++ b/src/relay/registry.h
@@ -29,9 +29,8 @@
     /// Learns from the others. While the aggregator follows the tables this entry does not, and fetches changes from it; while
     /// the store does not answer this entry, it fetches newer rows from whoever has them.
     void noteOthers(const OthersView &others);
-    /// Rows of a table that changed after a change, as bytes for a peer; all rows if the change is 0 or too long ago. Empty
-    /// for another table.
-    std::string copyTable(const std::string &table, std::uint64_t after) const;
+    /// Answers a peer's TableWanted with a TableCopy; empty if it is malformed or asks for another table.
+    std::string copyTable(std::string_view wantedBytes) const;
     /// Whether targets that live may be missing: the store came back a moment ago, entries lapse while it is away, and this
     /// entry had not read them before.
     bool mayListBeShort() const;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -410,11 +410,9 @@
     });
     BOOST_LEAF_CHECK(data.metricsServer->listen({settings.host, static_cast<std::uint16_t>(settings.metricsPort)}));
     data.peerServer = std::make_unique<HttpServer>(data.context.loop, HttpLimits(), [&data](const ExchangePtr &exchange) {
-        const std::string name = queryParameter(exchange->request().query, "name").value_or("");
-        std::uint64_t after = 0;
-        parseNumber(queryParameter(exchange->request().query, "after").value_or(""), after);
         const bool isTable = exchange->request().path == "/peer/table";
-        exchange->reply(isTable ? 200 : 404, {{"Content-Type", "application/octet-stream"}}, isTable ? data.registry->copyTable(name, after) : std::string());
+        const std::string copy = isTable ? data.registry->copyTable(exchange->request().body) : std::string();
+        exchange->reply(isTable ? 200 : 404, {{"Content-Type", "application/octet-stream"}}, copy);
     });
     BOOST_LEAF_CHECK(data.peerServer->listen({settings.host, static_cast<std::uint16_t>(settings.peerPort)}));
     BOOST_LEAF_CHECK(data.listener->listen(callerAddress));
--- a/src/relay/table_feed.cpp
+++ b/src/relay/table_feed.cpp
@@ -32,13 +32,14 @@
 
     std::unique_ptr<Timer> next{};
     HttpCallPtr call{};
-    std::map<std::string, Row> rows{}; ///< known, by key; removed ones too, without value
-    std::set<std::string> seen{};      ///< keys of the reading under way
-    std::string readFrom{};            ///< where the reading goes on
-    std::uint64_t revision = 0;        ///< of the last answer
-    std::uint64_t firstRevision = 0;   ///< of the first page of the reading under way
-    std::uint64_t lastChange = 0;      ///< highest version of a row, removed ones included
-    std::uint64_t knownSince = 0;      ///< revision of the first reading: removals before it are not known
+    std::map<std::string, Row> rows{};             ///< known, by key; removed ones too, without value
+    std::map<std::string, std::uint64_t> goneBy{}; ///< of removed rows whose removal was not seen: a revision at which they were gone
+    std::set<std::string> seen{};                  ///< keys of the reading under way
+    std::string readFrom{};                        ///< where the reading goes on
+    std::uint64_t revision = 0;                    ///< of the last answer
+    std::uint64_t firstRevision = 0;               ///< of the first page of the reading under way
+    std::uint64_t lastChange = 0;                  ///< highest version of a row, removed ones included
+    std::uint64_t knownSince = 0;                  ///< revision of the first reading: removals before it are not known
     TimePoint confirmedAt{};
     TimePoint followedUntil{}; ///< a peer watches the table for this feed
     int failures = 0;
@@ -52,12 +53,18 @@
     void takeAnswer(const HttpResult &result);
     void takePage(const RowPage &page);
     void takeRow(const Row &row);
-    void dropMissing(const std::set<std::string> &present, std::uint64_t goneBy);
+    void dropMissing(const std::set<std::string> &present, std::uint64_t revision);
     void endReading();
     void takeFailure(const std::string &reason);
     void noteAnswer();
 };
 
+bool goesOnFrom(const TableCopy &copy, std::uint64_t lastChange)
+{
+    const bool hasHole = !copy.isWhole && copy.after > lastChange;
+    return copy.change > lastChange && !hasHole;
+}
+
 TableFeed::TableFeed(RelayContext &context, HttpClient &client, const Address &store, std::string table, Handlers handlers)
     : d(std::make_unique<Private>(Private{context, client, store, std::move(table), std::move(handlers)}))
 {
@@ -107,11 +114,14 @@
 {
     TableCopy copy;
     copy.table = d->table;
+    copy.after = after;
     copy.change = d->lastChange;
     // What was removed before the first reading is not known here.
     copy.isWhole = after == 0 || after < d->knownSince;
     for (const auto &[key, row] : d->rows) {
-        const bool isChanged = copy.isWhole || row.version > after;
+        const auto gone = d->goneBy.find(key);
+        const std::uint64_t changedAt = gone == d->goneBy.end() ? row.version : std::max(row.version, gone->second);
+        const bool isChanged = copy.isWhole || changedAt > after;
         if (isChanged && !row.isDeleted) {
             copy.rows.push_back({key, row.version, row.value});
         } else if (isChanged && !copy.isWhole) {
@@ -144,7 +154,7 @@
 
 void TableFeed::takeCopy(const TableCopy &copy)
 {
-    if (copy.change <= d->lastChange) {
+    if (!goesOnFrom(copy, d->lastChange)) {
         return;
     }
     std::set<std::string> present;
@@ -156,7 +166,7 @@
         d->takeRow({row.key, row.version, {}, true});
     }
     if (copy.isWhole) {
-        d->dropMissing(present, 0);
+        d->dropMissing(present, copy.change);
     }
     d->lastChange = copy.change;
     d->revision = std::max(d->revision, copy.change);
@@ -271,7 +281,9 @@
     Row &known = rows[row.key];
     // A row that a peer's older copy lacked is not gone: the store still shows it, at the version that was known.
     const bool isBack = row.version == known.version && known.isDeleted && !row.isDeleted;
-    if (row.version <= known.version && !isBack) {
+    // Its removal was not seen, only that it is not there any more.
+    const bool isGone = row.version == known.version && row.isDeleted && !known.isDeleted && known.version > 0;
+    if (row.version <= known.version && !isBack && !isGone) {
         return;
     }
     known = row;
@@ -283,16 +295,14 @@
     }
 }
 
-/// Reports rows as removed that a whole reading did not hold. If it was the store's, they were removed by its revision, so
-/// that peers that ask for changes are told of them.
-void TableFeed::Private::dropMissing(const std::set<std::string> &present, std::uint64_t goneBy)
+/// Reports rows as removed that a whole reading, or a peer's whole copy, of this revision did not hold.
+void TableFeed::Private::dropMissing(const std::set<std::string> &present, std::uint64_t revision)
 {
     for (auto &[key, row] : rows) {
         if (!row.isDeleted && !present.contains(key)) {
             row.isDeleted = true;
             row.value.clear();
-            row.version = std::max(row.version, goneBy);
-            lastChange = std::max(lastChange, row.version);
+            goneBy[key] = revision;
             handlers.onGone(key);
         }
     }
@@ -301,7 +311,8 @@
 /// All pages are there: rows that were not among them are gone, and changes since the first page are watched.
 void TableFeed::Private::endReading()
 {
-    dropMissing(seen, isRead ? firstRevision : 0);
+    dropMissing(seen, firstRevision);
+    lastChange = std::max(lastChange, isRead ? firstRevision : 0);
     knownSince = knownSince == 0 ? firstRevision : knownSince;
     seen.clear();
     readFrom.clear();
--- a/src/relay/table_feed.h
+++ b/src/relay/table_feed.h
@@ -16,6 +16,10 @@
 namespace Parsleytrail
 {
 
+/// Whether a peer's copy brings a feed that knows all changes up to `lastChange` further. Changes since a later one would leave a
+/// hole that nothing fills.
+bool goesOnFrom(const TableCopy &copy, std::uint64_t lastChange);
+
 /// Follows one table.
 class TableFeed
 {
--- a/tests/fuzz_frames.cpp
+++ b/tests/fuzz_frames.cpp
@@ -82,6 +82,9 @@
     case 16:
         tryDecode<GroupSummary>(bytes, version);
         break;
+    case 17:
+        tryDecode<TableWanted>(bytes, version);
+        break;
     default:
         tryDecode<StageReport>(bytes, version);
         break;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -312,4 +312,44 @@
     BOOST_TEST(cluster.operate("GET", "/operator/v1/nothing").status == 404);
 }
 
+/// Guards against requests that are taken for others because their first line came in two parts.
+BOOST_AUTO_TEST_CASE(a_request_line_in_two_parts_is_read_whole, *boost::unit_test::label("known_red"))
+{
+    EventLoop loop;
+    std::vector<std::string> targets;
+    HttpServer server(loop, HttpLimits(), [&targets](const ExchangePtr &exchange) {
+        targets.push_back(exchange->request().path + "?" + exchange->request().query);
+        exchange->reply(200, {}, {});
+    });
+    Address address;
+    Error error;
+    BOOST_REQUIRE(runCatching(
+        [&]() -> Result<void> {
+            BOOST_LEAF_ASSIGN(address, server.listen({"127.0.0.1", 0}));
+            return {};
+        },
+        error));
+    const std::string head = "GET /some/path?name=value&after=157 HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::size_t lineEnd = head.find("\r\n");
+    for (std::size_t split = 1; split < lineEnd; ++split) {
+        const std::size_t before = targets.size();
+        const int client = connectTo(address);
+        sendText(client, std::string_view(head).substr(0, split));
+        loop.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(10));
+        sendText(client, std::string_view(head).substr(split));
+        loop.runUntil(
+            [&] {
+                return targets.size() > before;
+            },
+            milliseconds(200));
+        close(client);
+        const bool isRead = targets.size() == before + 1 && targets.back() == "/some/path?name=value&after=157";
+        BOOST_TEST(isRead, "split after " << split << " bytes: " << (targets.size() > before ? targets.back() : "not read"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
