Ignore the result of a move that an earlier attempt ordered

Cause: an order to move a stream is answered after 150 ms at the latest. When the stream's first engine was dead too, the stream was restarted elsewhere before that, and the late failure put the chain of the first attempt back: the relay watched and counted engines that the stream did not use, and a second failure of its real chain went unnoticed. Change: the end of an attempt invalidates its move. The stand-in engines can ignore orders to move a stream, and to begin one.

--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -137,7 +137,7 @@
     bool m_isReserved = false;
     bool m_isWaitingForChain = false; ///< the response has begun, and there is no chain to continue it
     TimePoint m_moveAttemptedAt{};    ///< last search for another chain for the running request
-    int m_moves = 0;                  ///< how often the running request was ordered to another chain
+    int m_moves = 0;                  ///< identifies the last move; results of earlier ones are ignored
     bool m_isEventMissing = false;    ///< an event is missing, so that this attempt can't be relayed
 };
 
@@ -281,6 +281,8 @@
     if (m_isReserved) {
         reserve(-1);
     }
+    // A move that was not answered yet concerned this attempt. Its result must not replace the chain of the next one.
+    ++m_moves;
     cancelExchange();
 }
 
--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -52,6 +52,8 @@
     bool isUnresponsive = false;
     bool isDead = false;
     bool refusesNewStreams = false;
+    bool ignoresNewStreams = false;
+    bool ignoresMoves = false;
     bool isAlive() const
     {
         return !isUnresponsive && !isDead;
@@ -72,6 +74,8 @@
     bool dropsOrderResponses = false;
     int startedStreams = 0;
     int movedStreams = 0;
+    int ignoredStreams = 0;
+    int ignoredMoves = 0;
     int acceptedPlacements = 0;
     int refusedPlacements = 0;
     int invalidChains = 0;
@@ -163,6 +167,10 @@
         return answer(connection, 503, {}, "X-Not-Executed: 1\r\nAt-Server: " + unavailable + "\r\n");
     }
     invalidChains += coversAllLayers(stream->chain) ? 0 : 1;
+    if (engine.ignoresNewStreams) {
+        ++ignoredStreams;
+        return;
+    }
     int last = 0;
     parseNumber(head.find("Last-Event-Id"), last);
     stream->next = last + 1;
@@ -245,6 +253,10 @@
 
 void ChainEngines::Private::move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body)
 {
+    if (engine.ignoresMoves) {
+        ++ignoredMoves;
+        return;
+    }
     for (const auto &stream : streams) {
         if (stream->engine != &engine || stream->id != body.at("id")) {
             continue;
@@ -357,6 +369,16 @@
     d->engines.at(id)->refusesNewStreams = true;
 }
 
+void ChainEngines::ignoreNewStreams(const std::string &id)
+{
+    d->engines.at(id)->ignoresNewStreams = true;
+}
+
+void ChainEngines::ignoreMoves(const std::string &id)
+{
+    d->engines.at(id)->ignoresMoves = true;
+}
+
 void ChainEngines::cutStreams(const std::string &id)
 {
     const auto streams = d->streams;
@@ -396,6 +418,16 @@
     return static_cast<int>(d->streams.size());
 }
 
+int ChainEngines::ignoredStreams() const
+{
+    return d->ignoredStreams;
+}
+
+int ChainEngines::ignoredMoves() const
+{
+    return d->ignoredMoves;
+}
+
 int ChainEngines::movedStreams() const
 {
     return d->movedStreams;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -42,6 +42,10 @@
     void crash(const std::string &id);
     /// The engine refuses new streams whose chain includes it and continues the open ones.
     void refuseNewStreams(const std::string &id);
+    /// The engine accepts new streams and never begins them. It answers probes, and open streams continue.
+    void ignoreNewStreams(const std::string &id);
+    /// The engine neither executes nor answers orders to move a stream.
+    void ignoreMoves(const std::string &id);
     /// Resets the connections of all streams whose first engine is this one, in the middle of an event.
     void cutStreams(const std::string &id);
     /// Orders to load a range are executed, but get no response.
@@ -53,6 +57,9 @@
     /// Streams started so far, and streams open now.
     int startedStreams() const;
     int openStreams() const;
+    /// New streams, and orders to move a stream, that were ignored.
+    int ignoredStreams() const;
+    int ignoredMoves() const;
     /// Orders to move a stream that were executed.
     int movedStreams() const;
     /// Orders to load a range: accepted ones, and ones refused because the engine was busy or the number of orders that it
--- a/tests/relay_streams_test.cpp
+++ b/tests/relay_streams_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/relay_system.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include <numeric>
 
@@ -41,6 +42,12 @@
     return {};
 }
 
+/// Open requests at an engine, as the first relay's state dump shows them.
+int openRequestsOf(RelaySystem &system, const std::string &engine)
+{
+    return nlohmann::json::parse(system.relay().dumpState())["targets"][engine]["openRequests"];
+}
+
 void checkComplete(const RawCallPtr &call, int last = 30)
 {
     BOOST_TEST(call->status() == 200);
@@ -141,6 +148,43 @@
     BOOST_TEST(system.engines().invalidChains() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(aMoveOfAnEarlierAttemptDoesNotChangeTheChain)
+{
+    // An order to move a stream gets no answer, and the stream is restarted elsewhere before that times out. If the timeout put the
+    // chain of the first attempt back, the relay would watch engines that the stream does not use.
+    RelaySystemOptions options = withEngines(4);
+    options.engineOptions.events = 120;
+    RelaySystem system(options);
+    const std::vector<LayerRange> held = {{0, 4}, {4, 8}, {0, 4}, {4, 8}};
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = "engine-" + std::to_string(i);
+        system.engines().setLayers(id, held[i]);
+        system.registerEngine(id);
+    }
+    system.waitReady();
+    system.waitPlaced();
+    const RawCallPtr call = system.stream("s-1");
+    system.wait("some events", [&] {
+        return call->eventIds().size() >= 3;
+    });
+    const std::string first = openRequestsOf(system, "engine-0") == 1 ? "engine-0" : "engine-2";
+    const std::string otherFirst = first == "engine-0" ? "engine-2" : "engine-0";
+    const std::string second = openRequestsOf(system, "engine-1") == 1 ? "engine-1" : "engine-3";
+    system.engines().ignoreMoves(first);
+    system.engines().makeUnresponsive(second);
+    system.wait("an order to move", [&] {
+        return system.engines().ignoredMoves() > 0;
+    });
+    system.engines().cutStreams(first);
+    system.idle(milliseconds(300));
+    BOOST_TEST(openRequestsOf(system, otherFirst) == 1);
+    BOOST_TEST(openRequestsOf(system, first) == 0);
+    system.wait("answer", [&] {
+        return call->hasCompleteResponse() || call->isClosed;
+    });
+    checkComplete(call, 120);
+}
+
 BOOST_AUTO_TEST_CASE(aStalledStreamIsNotCutWhenItMayNotBeginAnew)
 {
     // An engine pauses for two seconds while the retry budget is used up, so that the stream can't be restarted elsewhere. If the
