Leave a first engine that begins no streams, after the usual time to a first event

Cause: engines may answer probes and reports, go on with running streams and begin no new ones. The relay waited 900 ms four times before it restarted such a stream; callers leave after 2.4 s. Change: each entry observes the time to the first event (average and deviation, as TCP does for round trips) and restarts a stream after four deviations, 200 to 900 ms, unless its first engine has begun another stream since. That engine begins no streams for a backoff that doubles; as a later engine of a chain it stays in use.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -13,7 +13,7 @@
     double freeKvTokenLayers = 0;    ///< KV cache left of the share that may be planned for, tokens x layers
     double kvFill = 0;               ///< KV cache in use, relative to the share that may be planned for: 0 empty, 1 full
     double avoidedMs = 0;            ///< cost added because other entries avoid it
-    bool isFullAsFirstStage = false; ///< accepts no more requests from entries, but still later stages of chains that began at other engines
+    bool canBeFirstStage = true;     ///< accepts further requests from entries; one that does not is still used for later stages
     std::size_t dataCenter = 0;      ///< index of its name
 };
 
@@ -72,7 +72,8 @@
         candidate.freeKvTokenLayers = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
         candidate.avoidedMs = target.peersAvoiding > 0 ? tuning.avoidedByPeersMs : 0;
-        candidate.isFullAsFirstStage = target.registered.slots > 0 && open >= target.registered.slots * tuning.slotLimit;
+        const bool hasFreeSlot = target.registered.slots <= 0 || open < target.registered.slots * tuning.slotLimit;
+        candidate.canBeFirstStage = hasFreeSlot && mayBeginStreams(target, context.now);
         candidate.dataCenter = indexOf(dataCenters, target.registered.dataCenter);
         candidates.push_back(candidate);
     }
@@ -125,9 +126,10 @@
     {
         return context.current.empty() || layers.from > 0 || isSameStage(context.current.front(), id, layers);
     }
-    bool isFullFirstStage(std::size_t boundary, const Candidate &candidate) const
+    /// Whether a stream may continue at an engine from a boundary on. A running request stays at its first engine.
+    bool mayContinueAt(std::size_t boundary, const Candidate &candidate) const
     {
-        return boundary == 0 && context.current.empty() && candidate.isFullAsFirstStage;
+        return boundary > 0 || !context.current.empty() || candidate.canBeFirstStage;
     }
     double keepFactor(const TargetId &id, const LayerRange &layers) const
     {
@@ -176,7 +178,7 @@
                 }
                 for (int index = 0; index < static_cast<int>(candidates.size()); ++index) {
                     const LayerRange &held = candidates[index].target->registered.layers;
-                    if (held.from <= boundaries[boundary] && boundaries[boundary] < held.to && !isFullFirstStage(boundary, candidates[index])) {
+                    if (held.from <= boundaries[boundary] && boundaries[boundary] < held.to && mayContinueAt(boundary, candidates[index])) {
                         relax(boundary, dataCenter, index);
                     }
                 }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -87,6 +87,25 @@
     ++target.refusalsInRow;
 }
 
+void recordStreamBegun(Target &target, TimePoint now)
+{
+    target.lastBegunAt = now;
+    target.silencesInRow = 0;
+    target.noNewStreamsUntil = TimePoint();
+}
+
+void recordSilence(Target &target, TimePoint now)
+{
+    const int doublings = std::min(target.silencesInRow, 8);
+    target.noNewStreamsUntil = now + std::min(initialFailureBackoff * (1 << doublings), maxFailureBackoff);
+    ++target.silencesInRow;
+}
+
+bool mayBeginStreams(const Target &target, TimePoint now)
+{
+    return now >= target.noNewStreamsUntil;
+}
+
 bool isFailing(const Target &target, TimePoint now)
 {
     return target.failuresInRow > 0 && !target.registered.isDraining && !isUsable(target, now);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -68,6 +68,9 @@
     int unansweredProbesInRow = 0;    ///< probes without a valid response, and reports that requests wait for it, since its last valid response
     int refusalsInRow = 0;            ///< requests that it refused without running them, since the last successful request
     int peersAvoiding = 0;            ///< other entries that send it no work at present, after failures or refusals, as last reported
+    int silencesInRow = 0;            ///< streams given up because it did not begin them, since it last began one
+    TimePoint noNewStreamsUntil{};    ///< after a silence: is not the first engine of a stream before this time
+    TimePoint lastBegunAt{};          ///< when a stream of this process last received its first event from it
     bool needsProbe = false;          ///< gets no work until it has answered a probe, even after avoidUntil
     bool hasReportedOrders = false;   ///< ordersAccepted comes from the target itself
     TimePoint reportedAt{};           ///< when it last reported; zero: never
@@ -114,6 +117,13 @@
 constexpr milliseconds maxRefusalBackoff{1600};
 /// Backs off from a target that refused a request. The target is healthy: its layers don't count as lost.
 void recordRefusal(Target &target, TimePoint now);
+/// Records that a stream which began at this engine received its first event.
+void recordStreamBegun(Target &target, TimePoint now);
+/// Records that the engine accepted a stream and did not begin it, while it answers probes. It gets no new streams for a time
+/// that doubles with each silence in a row; as a later engine of a chain it still works.
+void recordSilence(Target &target, TimePoint now);
+/// Whether streams may begin at the engine, after silences.
+bool mayBeginStreams(const Target &target, TimePoint now);
 /// Whether it gets no work at present, after failed requests or probes. False for a draining target.
 bool isFailing(const Target &target, TimePoint now);
 /// Whether it gets no work at present, after failures or refusals. Reported to other entries, which then prefer other targets.
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -6,6 +6,7 @@
 #include "policy/fleet.h"
 #include "policy/routes.h"
 #include "policy/shared_budget.h"
+#include "policy/silence.h"
 #include "relay/platform_adapter.h"
 #include "relay/target_exchange.h"
 
@@ -48,6 +49,7 @@
     std::mt19937_64 random{}; ///< seeded by the id and the start time, so that a run can be reproduced
     RelayMetrics metrics{};
     double averageEventGapMs = 50; ///< moving average of the time between two events of a stream, in milliseconds
+    DelayEstimate firstEventDelay{}; ///< from sending a request to the first event, of streams that began here
     EntryCount entryCount{};       ///< number of entries that share budgets
     bool hasRetryShare = false;    ///< this entry was granted its full share of the retry budgets
 };
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -93,6 +93,8 @@
     bool startMove();
     bool isChainBroken(TimePoint now) const;
     void handleMoveResult(bool isMoved, int move, const std::vector<ChainStage> &previousChain);
+    int startedAttempts() const;
+    bool canRestart() const;
     void restartOnOtherChain(std::string_view reason);
     void retryChainSearch(TimePoint now);
     void handleMissingChain(const ChainSelectionContext &selectionContext);
@@ -101,7 +103,9 @@
     void handleBody(std::string &body) override;
     void handleEvents(std::string &body);
     void relayEvent(const StreamEvent &event);
+    void recordFirstEvent(TimePoint now);
     void requestReportsAfterLongGap(TimePoint now);
+    bool restartIfFirstEngineIsSilent(TimePoint now);
     void handleEnd() override;
     void handleRefusal(const HttpHead &head);
     void recordRefusedStage(const TargetId &id, int status);
@@ -350,11 +354,26 @@
     if (event.hasId) {
         m_lastEventId = event.id;
     }
+    if (!m_hasEvents) {
+        recordFirstEvent(now);
+    }
     m_hasEvents = true;
     m_lastProgressAt = now;
     ++m_context.metrics.events;
 }
 
+void StreamForwarding::recordFirstEvent(TimePoint now)
+{
+    // A request that was moved waited for other engines too.
+    const bool isUndisturbed = m_moveAttemptedAt < m_lastProgressAt;
+    if (isUndisturbed) {
+        recordDelay(m_context.firstEventDelay, std::chrono::duration_cast<milliseconds>(now - m_lastProgressAt));
+    }
+    if (Target *first = findTarget(m_context.fleet, m_chain.front().id)) {
+        recordStreamBegun(*first, now);
+    }
+}
+
 /// Requests reports from the engines of the chain after a gap of more than half of the route's target gap.
 ///
 /// An engine that became slow still responds and forwards events, so that only its report distinguishes it from the others,
@@ -544,8 +563,8 @@
     }
     const TimePoint now = m_context.clock.now();
     m_leavingSince = m_leavingSince == TimePoint() ? now : m_leavingSince;
-    const bool canRestart = m_attempts < m_request.route->maxAttempts && hasAmpleRetryBudget(m_context, m_request.service->name);
-    if (now - m_leavingSince >= leavingRestartDelay && canRestart) {
+    const bool mayRestart = m_attempts < m_request.route->maxAttempts && hasAmpleRetryBudget(m_context, m_request.service->name);
+    if (now - m_leavingSince >= leavingRestartDelay && mayRestart) {
         restartOnOtherChain("engine of the chain is about to go");
     }
 }
@@ -587,17 +606,27 @@
     }
 }
 
+/// Attempts that an engine may have started, with the current one.
+int StreamForwarding::startedAttempts() const
+{
+    return m_isStream ? m_attempts : m_attempts + 1;
+}
+
+/// Whether attempts, time and retry budget allow to run the request once more.
+bool StreamForwarding::canRestart() const
+{
+    const bool hasTime = m_context.clock.now() + minAttemptTime < m_request.deadline;
+    return canRetryAfterRun() && startedAttempts() < m_request.route->maxAttempts && hasTime && hasRetryBudget(m_context, m_request.service->name);
+}
+
 /// Restarts the stream on another chain after its last event, if attempts, time and retry budget allow it. Otherwise the
 /// stream stays where it is: an unresponsive engine may resume, whereas a response aborted here is certainly lost.
 void StreamForwarding::restartOnOtherChain(std::string_view reason)
 {
-    const int attempts = m_isStream ? m_attempts : m_attempts + 1;
-    const bool hasTime = m_context.clock.now() + minAttemptTime < m_request.deadline;
-    const bool canRestart = canRetryAfterRun() && attempts < m_request.route->maxAttempts && hasTime && hasRetryBudget(m_context, m_request.service->name);
-    if (!canRestart) {
+    if (!canRestart()) {
         return;
     }
-    m_attempts = attempts;
+    m_attempts = startedAttempts();
     retryOrEnd(reason, true);
 }
 
@@ -619,6 +648,34 @@
     }
 }
 
+/// Restarts a stream on another chain if its first engine does not begin it.
+///
+/// An engine may answer probes and forward the activations of running streams while it starts no new ones: its callers would
+/// wait until they disconnect.
+bool StreamForwarding::restartIfFirstEngineIsSilent(TimePoint now)
+{
+    Target *first = m_hasEvents || m_chain.empty() ? nullptr : findTarget(m_context.fleet, m_chain.front().id);
+    if (!first || isChainBroken(now)) {
+        return false;
+    }
+    const FirstEventWait wait{std::max(m_lastProgressAt, m_moveAttemptedAt), first->lastBegunAt};
+    if (!isFirstEngineSilent(wait, m_context.firstEventDelay, now) || !canRestart()) {
+        return false;
+    }
+    recordSilence(*first, now);
+    m_excluded.insert(first->registered.id);
+    // Without another chain the request stays: an engine that is only slow may still begin it.
+    if (findChain(makeSelectionContext()).empty()) {
+        return false;
+    }
+    logEvent(Event::StreamNotBegun, {{"id", m_request.attemptId},
+                                   {"target", first->registered.id.value},
+                                   {"silences", std::to_string(first->silencesInRow)},
+                                   {"waited_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - wait.since).count())}});
+    restartOnOtherChain("first engine is silent");
+    return true;
+}
+
 void StreamForwarding::checkTimeouts(TimePoint now)
 {
     if (m_isOver) {
@@ -638,6 +695,9 @@
             return;
         }
     }
+    if (restartIfFirstEngineIsSilent(now)) {
+        return;
+    }
     const milliseconds stall = m_hasEvents ? eventStallTimeout : firstEventStallTimeout;
     if (m_chain.empty() || now - m_lastProgressAt < stall || now - m_queriedAt < stallQueryInterval) {
         return;
--- a/tests/relay_streams_test.cpp
+++ b/tests/relay_streams_test.cpp
@@ -148,6 +148,36 @@
     BOOST_TEST(system.engines().invalidChains() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(anEngineThatBeginsNoStreamsIsLeftOut)
+{
+    // A first engine accepts streams, answers probes and begins none. Without a limit on the wait for the first event its callers
+    // would get nothing until they disconnect, and new streams would be sent there again and again.
+    RelaySystemOptions options = withEngines(3);
+    options.tuneRelay = [](RelaySettings &settings) {
+        settings.retryShare = 1;
+    };
+    RelaySystem system(options);
+    system.engines().setLayers("engine-0", {0, 4});
+    system.engines().setLayers("engine-1", {4, 8});
+    system.engines().setLayers("engine-2", {0, 4});
+    for (int i = 0; i < 3; ++i) {
+        system.registerEngine("engine-" + std::to_string(i));
+    }
+    system.waitReady();
+    system.waitPlaced();
+    system.engines().ignoreNewStreams("engine-0");
+    constexpr int streams = 12;
+    for (int i = 0; i < streams; ++i) {
+        const RawCallPtr call = system.stream("s-" + std::to_string(i));
+        system.wait("answer", [&] {
+            return call->hasCompleteResponse() || call->isClosed;
+        });
+        checkComplete(call);
+    }
+    BOOST_TEST(system.engines().ignoredStreams() >= 1);
+    BOOST_TEST(system.engines().ignoredStreams() < streams / 2);
+}
+
 BOOST_AUTO_TEST_CASE(aMoveOfAnEarlierAttemptDoesNotChangeTheChain)
 {
     // An order to move a stream gets no answer, and the stream is restarted elsewhere before that times out. If the timeout put the
