Suspect the engine that several silent streams share within 1.3 usual gaps, and probe it for 30 ms

Change: the search for suspects is a pure function of the streams' activity. An engine that three streams or more share is suspected when all of them are silent for 1.3 usual gaps (50 ms at least) instead of 1.9 (90 ms); requests that were just sent no longer count as progress of their engines, which hid dead ones; a suspect has 30 ms to answer instead of 60.

--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace Parsleytrail
 {
@@ -36,4 +37,48 @@
     return !hasBegunOthers && now - wait.since >= firstEventTimeout(firstEvents, tuning);
 }
 
+static milliseconds scaled(double averageGapMs, double factor)
+{
+    return milliseconds(static_cast<std::int64_t>(averageGapMs * factor));
+}
+
+milliseconds stallThreshold(double averageGapMs, const SuspectTuning &tuning)
+{
+    return std::clamp(scaled(averageGapMs, tuning.singleFactor), tuning.minSingle, tuning.maxSingle);
+}
+
+/// The streams of one engine.
+struct EngineActivity {
+    std::size_t streams = 0;    ///< streams that pass it
+    TimePoint lastProgressAt{}; ///< newest progress of any of them
+};
+
+std::vector<TargetId> findSuspects(const std::vector<StreamActivity> &streams, double averageGapMs, TimePoint now, const SuspectTuning &tuning)
+{
+    const milliseconds single = stallThreshold(averageGapMs, tuning);
+    std::map<TargetId, EngineActivity> engines;
+    for (const StreamActivity &stream : streams) {
+        // A request that was just sent shows nothing about its engines. To count it as progress would hide a failed engine for as
+        // long as new requests are sent there.
+        if (!stream.hasEvents && now - stream.lastProgressAt < single) {
+            continue;
+        }
+        for (const ChainStage &stage : *stream.chain) {
+            EngineActivity &engine = engines[stage.id];
+            ++engine.streams;
+            engine.lastProgressAt = std::max(engine.lastProgressAt, stream.lastProgressAt);
+        }
+    }
+    const milliseconds shared = std::min(single, std::max(scaled(averageGapMs, tuning.sharedFactor), tuning.minShared));
+    std::vector<TargetId> suspects;
+    for (const auto &[id, engine] : engines) {
+        const milliseconds threshold = engine.streams >= tuning.sharedStreams ? shared : single;
+        const auto silence = now - engine.lastProgressAt;
+        if (silence >= threshold && silence < single + tuning.window) {
+            suspects.push_back(id);
+        }
+    }
+    return suspects;
+}
+
 } // namespace Parsleytrail
--- a/src/policy/silence.h
+++ b/src/policy/silence.h
@@ -7,10 +7,13 @@
 //     recordDelay(firstEvents, milliseconds(57));             // a stream received its first event
 //     if (isFirstEngineSilent(wait, firstEvents, now)) ...    // a stream has not
 //
+// An engine behind the first one fails without a sign to the entries: the streams through it get no more events. Those that all
+// silent streams have in common, and no other stream passes, are suspected and probed.
+//
 // Pure: the caller passes the time in.
 #pragma once
 
-#include "base/clock.h"
+#include "policy/chain_selection.h"
 
 namespace Parsleytrail
 {
@@ -47,4 +50,31 @@
 /// since this request was sent is not suspected.
 bool isFirstEngineSilent(const FirstEventWait &wait, const DelayEstimate &firstEvents, TimePoint now, const FirstEventTuning &tuning = {});
 
+/// A stream as the search for suspects sees it.
+struct StreamActivity {
+    const std::vector<ChainStage> *chain = nullptr; ///< engines that it passes; null: it waits for none
+    TimePoint lastProgressAt{};                     ///< when the request was sent, or its last event
+    bool hasEvents = false;                         ///< it has received events
+};
+
+/// Thresholds of suspecting an engine, as factors on the usual gap between two events of a stream.
+struct SuspectTuning {
+    /// One silent stream is weak evidence, as single gaps vary.
+    double singleFactor = 1.9;
+    milliseconds minSingle{90};
+    milliseconds maxSingle{350};
+    /// Several streams whose only common property is an engine are rarely all silent for longer than one usual gap.
+    std::size_t sharedStreams = 3;
+    double sharedFactor = 1.3;
+    milliseconds minShared{50};
+    /// An engine is suspected for this long after the threshold. After that only the first engines of stalled streams are queried,
+    /// whose reports name the engine that a stream waits for.
+    milliseconds window{60};
+};
+
+/// How long a stream is without an event until it counts as stalled.
+milliseconds stallThreshold(double averageGapMs, const SuspectTuning &tuning = {});
+/// Engines to probe: none of their streams has made progress for longer than usual.
+std::vector<TargetId> findSuspects(const std::vector<StreamActivity> &streams, double averageGapMs, TimePoint now, const SuspectTuning &tuning = {});
+
 } // namespace Parsleytrail
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -36,14 +36,9 @@
     {
         // A call lasts milliseconds; a draining target continues to serve for longer than that.
     }
-    const std::vector<ChainStage> &chain() const override
+    StreamActivity activity() const override
     {
-        static const std::vector<ChainStage> none;
-        return none;
-    }
-    TimePoint lastProgressAt() const override
-    {
-        return m_request.exchange->receivedAt();
+        return {};
     }
 
 private:
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -11,7 +11,7 @@
 constexpr milliseconds probeTimeout{400};       ///< a report needs no free slot: a live engine answers within milliseconds
 /// Timeout for an engine through which no stream has made progress for the stall threshold. A stream that is moved after this time
 /// is often still on time; an engine wrongly classified as unresponsive costs processing some prompts again.
-constexpr milliseconds suspectTimeout{60};
+constexpr milliseconds suspectTimeout{30};
 /// Chain selection avoids slow engines as far as possible. Engines that reported a higher slowdown factor than this are probed again
 /// at slowEngineProbeInterval, until they report a lower one.
 constexpr double slowdownThreshold = 1.2;
--- a/src/relay/engine_prober.h
+++ b/src/relay/engine_prober.h
@@ -26,7 +26,7 @@
     void start();
     /// Probes an engine now, unless a probe of it is pending. Does nothing for targets that are no engines.
     void probe(const TargetId &id);
-    /// Probes an engine that streams seem to wait for, with a timeout of 60 ms instead of 400 ms.
+    /// Probes an engine that streams seem to wait for, with a timeout of 30 ms instead of 400 ms.
     void probeSuspect(const TargetId &id);
 
 private:
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "policy/routes.h"
+#include "policy/silence.h"
 #include "relay/caller_session.h"
 #include "relay/context.h"
 
@@ -45,10 +46,8 @@
     /// Drops caller and target without responding, because the relay is being destroyed. Breaks the reference cycle between
     /// the forwarding and its exchanges.
     virtual void abandon() = 0;
-    /// Engines that currently process the request; empty if it waits for no engine.
-    virtual const std::vector<ChainStage> &chain() const = 0;
-    /// When the request last made progress: start of the attempt or last event.
-    virtual TimePoint lastProgressAt() const = 0;
+    /// The engines that currently process the request, and when it last made progress.
+    virtual StreamActivity activity() const = 0;
 };
 using ForwardingPtr = std::shared_ptr<Forwarding>;
 
@@ -67,10 +66,6 @@
     std::function<void(const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done)> moveStream;
 };
 
-/// Time without an event after which a stream counts as stalled: a small multiple of the average gap between events, as gaps
-/// vary little within a chain.
-milliseconds stallThreshold(const RelayContext &context);
-
 ForwardingPtr makeForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks);
 
 } // namespace Parsleytrail
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -42,9 +42,6 @@
 constexpr milliseconds maxStartupAcceptDelay{800};
 constexpr milliseconds budgetUpdateInterval{1000}; ///< how often this entry's shares of budgets are adapted
 
-/// The engines of a stalled stream are probed for this long after the stall threshold. After that only its first engine is queried,
-/// whose report names the engine that the stream waits for.
-constexpr milliseconds suspectWindow{60};
 /// The first engine of a chain answers an order to move a stream immediately.
 constexpr milliseconds moveTimeout{150};
 
@@ -187,34 +184,18 @@
     probeSuspects(open, now);
 }
 
-/// Probes the engines that a stalled stream may wait for: those of its chain through which no other stream has made progress
-/// since. An engine that does not answer counts as unresponsive.
+/// Probes the engines that silent streams may wait for. An engine that does not answer counts as unresponsive.
 void Relay::Private::probeSuspects(const std::vector<ForwardingPtr> &open, TimePoint now)
 {
-    const milliseconds threshold = stallThreshold(context);
-    std::vector<Forwarding *> stalled;
+    std::vector<StreamActivity> streams;
     for (const ForwardingPtr &forwarding : open) {
-        const bool isStalled = !forwarding->isOver() && !forwarding->chain().empty() && now - forwarding->lastProgressAt() >= threshold;
-        if (isStalled && now - forwarding->lastProgressAt() < threshold + suspectWindow) {
-            stalled.push_back(forwarding.get());
+        const StreamActivity activity = forwarding->activity();
+        if (activity.chain) {
+            streams.push_back(activity);
         }
     }
-    if (stalled.empty()) {
-        return;
-    }
-    std::map<TargetId, TimePoint> lastProgressAt;
-    for (const ForwardingPtr &forwarding : open) {
-        for (const ChainStage &stage : forwarding->chain()) {
-            TimePoint &at = lastProgressAt[stage.id];
-            at = std::max(at, forwarding->lastProgressAt());
-        }
-    }
-    for (const Forwarding *forwarding : stalled) {
-        for (const ChainStage &stage : forwarding->chain()) {
-            if (now - lastProgressAt[stage.id] >= threshold) {
-                prober->probeSuspect(stage.id);
-            }
-        }
+    for (const TargetId &suspect : findSuspects(streams, context.averageEventGapMs, now)) {
+        prober->probeSuspect(suspect);
     }
 }
 
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -38,12 +38,6 @@
 constexpr milliseconds firstEventStallTimeout{900};
 /// Upper bound of a gap's contribution to the average gap, so that stalls don't raise the stall threshold.
 constexpr double maxAveragedGapMs = 250;
-/// Bounds of the stall threshold. A stream is late after some 200 ms, and querying all engines of its chain is cheap. Under
-/// normal conditions 99 of 100 streams have no gap above 105 ms.
-constexpr double minStallMs = 90;
-constexpr double maxStallMs = 350;
-/// Ratio of the stall threshold to the average gap.
-constexpr double stallFactor = 1.9;
 /// Interval of querying a stalled stream's first engine.
 constexpr milliseconds stallQueryInterval{250};
 /// No new report is requested while the last one is younger: engines are slow for seconds, and every entry requests reports.
@@ -57,11 +51,6 @@
 constexpr milliseconds capacityRetryAfter{1200};
 constexpr milliseconds capacityRetrySpread{2800};
 
-milliseconds stallThreshold(const RelayContext &context)
-{
-    return milliseconds(static_cast<std::int64_t>(std::clamp(context.averageEventGapMs * stallFactor, minStallMs, maxStallMs)));
-}
-
 class StreamForwarding final : public TargetForwarding
 {
 public:
@@ -75,13 +64,10 @@
     void checkTimeouts(TimePoint now) override;
     void handleFailedTarget(const TargetId &id) override;
     void moveOffLeavingEngines() override;
-    const std::vector<ChainStage> &chain() const override
-    {
-        return m_chain;
-    }
-    TimePoint lastProgressAt() const override
+    StreamActivity activity() const override
     {
-        return m_lastProgressAt;
+        const bool usesEngines = !m_isOver && !m_chain.empty();
+        return {usesEngines ? &m_chain : nullptr, m_lastProgressAt, m_hasEvents};
     }
 
 private:
@@ -595,7 +581,7 @@
     const bool isInChain = !m_isOver && std::any_of(m_chain.begin(), m_chain.end(), [&](const ChainStage &stage) {
         return stage.id == id;
     });
-    const bool isWaiting = m_context.clock.now() - m_lastProgressAt >= stallThreshold(m_context) / 2;
+    const bool isWaiting = m_context.clock.now() - m_lastProgressAt >= stallThreshold(m_context.averageEventGapMs) / 2;
     if (!isInChain || !isWaiting) {
         return;
     }
@@ -688,7 +674,7 @@
     if (m_isWaitingForChain) {
         return retryChainSearch(now);
     }
-    const bool isMoveDue = now - m_lastProgressAt >= stallThreshold(m_context) && now - m_moveAttemptedAt >= moveRetryInterval;
+    const bool isMoveDue = now - m_lastProgressAt >= stallThreshold(m_context.averageEventGapMs) && now - m_moveAttemptedAt >= moveRetryInterval;
     if (isMoveDue && isChainBroken(now)) {
         m_moveAttemptedAt = now;
         if (startMove()) {
