Move streams off a draining engine one after the other, and off one that left the registry while it serves

Cause: all streams through an engine that drains were moved within 200 ms. Engines that drain without a sign only vanish from the registry; their streams stayed until the engine ended. Change: each stream leaves after a random part of half of the drain time, which is a setting (target-drain-time, from the platform's bounds). Layers that an engine gives up are still left at once, as it loads others only then.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -8,13 +8,13 @@
 
 /// An engine that may be used in the chain.
 struct Candidate {
-    const Target *target = nullptr;  ///< the engine in the fleet
-    double stepMsPerLayer = 0;       ///< expected time of one layer of a pass
-    double freeKvTokenLayers = 0;    ///< KV cache left of the share that may be planned for, tokens x layers
-    double kvFill = 0;               ///< KV cache in use, relative to the share that may be planned for: 0 empty, 1 full
-    double avoidedMs = 0;            ///< cost added because other entries avoid it
-    bool canBeFirstStage = true;     ///< accepts further requests from entries; one that does not is still used for later stages
-    std::size_t dataCenter = 0;      ///< index of its name
+    const Target *target = nullptr; ///< the engine in the fleet
+    double stepMsPerLayer = 0;      ///< expected time of one layer of a pass
+    double freeKvTokenLayers = 0;   ///< KV cache left of the share that may be planned for, tokens x layers
+    double kvFill = 0;              ///< KV cache in use, relative to the share that may be planned for: 0 empty, 1 full
+    double avoidedMs = 0;           ///< cost added because other entries avoid it
+    bool canBeFirstStage = true;    ///< accepts further requests from entries; one that does not is still used for later stages
+    std::size_t dataCenter = 0;     ///< index of its name
 };
 
 /// Cheapest path found that has applied all layers below a boundary and ends in a data centre.
--- a/src/policy/silence.h
+++ b/src/policy/silence.h
@@ -29,10 +29,10 @@
 
 /// Bounds of the time that a stream waits for its first event.
 struct FirstEventTuning {
-    double deviations = 4;              ///< deviations above the average after which an event counts as missing
-    milliseconds minTimeout{200};       ///< the estimate of an idle fleet may be far below what one long prompt takes
-    milliseconds maxTimeout{900};       ///< callers leave after two seconds, and another engine needs a part of them
-    milliseconds unknownTimeout{900};   ///< while no stream has received a first event yet
+    double deviations = 4;            ///< deviations above the average after which an event counts as missing
+    milliseconds minTimeout{200};     ///< the estimate of an idle fleet may be far below what one long prompt takes
+    milliseconds maxTimeout{900};     ///< callers leave after two seconds, and another engine needs a part of them
+    milliseconds unknownTimeout{900}; ///< while no stream has received a first event yet
 };
 
 /// How long a stream waits for its first event until its first engine is suspected.
@@ -40,8 +40,8 @@
 
 /// A stream that waits for its first event.
 struct FirstEventWait {
-    TimePoint since{};              ///< when the request was sent, or last moved to other engines
-    TimePoint engineLastBegunAt{};  ///< when a stream last received its first event from the same first engine
+    TimePoint since{};             ///< when the request was sent, or last moved to other engines
+    TimePoint engineLastBegunAt{}; ///< when a stream last received its first event from the same first engine
 };
 
 /// Whether the first engine of a stream that waits for its first event accepts requests without executing them.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "base/text.h"
 #include "policy/cross_data_center_budget.h"
+#include "policy/departure.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -78,6 +79,9 @@
     void startOnChain(std::vector<ChainStage> chain);
     bool startMove();
     bool isChainBroken(TimePoint now) const;
+    bool isStageReleased() const;
+    bool isStageDraining() const;
+    bool isLeaveDue(TimePoint now);
     void handleMoveResult(bool isMoved, int move, const std::vector<ChainStage> &previousChain);
     int startedAttempts() const;
     bool canRestart() const;
@@ -116,6 +120,7 @@
     std::uint64_t m_resumeAfterId = 0; ///< the caller requested the events after this id
     TimePoint m_lastProgressAt{};      ///< start of the attempt or its last event
     TimePoint m_chainSearchedAt{};     ///< last search for a chain while waiting for one
+    TimePoint m_leaveAt{};             ///< when the stream leaves a draining engine of its chain; zero: none drains
     TimePoint m_leavingSince{};        ///< since when an engine of the chain is leaving and no chain of the data centre avoids it
     TimePoint m_queriedAt{};           ///< when the first engine was last queried because of a stall
     TimePoint m_firstByteAt{};
@@ -248,6 +253,7 @@
     const TimePoint now = m_context.clock.now();
     m_isWaitingForChain = false;
     m_leavingSince = TimePoint();
+    m_leaveAt = TimePoint();
     m_chain = std::move(chain);
     const ServiceSpec &service = *m_request.service;
     consumeCrossDataCenterBudget(crossDataCenterBudget(m_context, service), crossDataCenterBytes(m_context.fleet, *service.engine, m_chain, m_demand));
@@ -530,6 +536,40 @@
            });
 }
 
+/// Whether an engine of the chain releases the stream's layers.
+bool StreamForwarding::isStageReleased() const
+{
+    return std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainStage &stage) {
+        const Target *target = findTarget(m_context.fleet, stage.id);
+        return target && !target->registered.layers.contains(stage.layers);
+    });
+}
+
+/// Whether an engine of the chain drains. Some engines are only removed from the registry and serve on for as long.
+bool StreamForwarding::isStageDraining() const
+{
+    return std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainStage &stage) {
+        const Target *target = findTarget(m_context.fleet, stage.id);
+        return !target || target->registered.isDraining;
+    });
+}
+
+/// Whether the stream is to leave an engine now: released layers at once, a draining engine after a random delay.
+bool StreamForwarding::isLeaveDue(TimePoint now)
+{
+    if (isStageReleased()) {
+        return true;
+    }
+    if (!isStageDraining()) {
+        m_leaveAt = TimePoint();
+        return false;
+    }
+    if (m_leaveAt == TimePoint()) {
+        m_leaveAt = now + drawLeaveDelay(m_context.settings.targetDrainTime, m_context.random);
+    }
+    return now >= m_leaveAt;
+}
+
 /// A draining engine continues to serve for seconds, and one that gives up layers waits for the streams in them before it
 /// loads others. Leaving early costs processing the tokens once more; leaving late costs a stall.
 void StreamForwarding::moveOffLeavingEngines()
@@ -537,17 +577,14 @@
     if (m_isOver || !m_hasEvents || !m_exchange) {
         return;
     }
-    const bool isEngineLeaving = std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainStage &stage) {
-        const Target *target = findTarget(m_context.fleet, stage.id);
-        return target && (target->registered.isDraining || !target->registered.layers.contains(stage.layers));
-    });
-    if (!isEngineLeaving) {
+    const TimePoint now = m_context.clock.now();
+    if (!isLeaveDue(now)) {
         return;
     }
     if (startMove()) {
+        m_leaveAt = TimePoint();
         return;
     }
-    const TimePoint now = m_context.clock.now();
     m_leavingSince = m_leavingSince == TimePoint() ? now : m_leavingSince;
     const bool mayRestart = m_attempts < m_request.route->maxAttempts && hasAmpleRetryBudget(m_context, m_request.service->name);
     if (now - m_leavingSince >= leavingRestartDelay && mayRestart) {
@@ -655,9 +692,9 @@
         return false;
     }
     logEvent(Event::StreamNotBegun, {{"id", m_request.attemptId},
-                                   {"target", first->registered.id.value},
-                                   {"silences", std::to_string(first->silencesInRow)},
-                                   {"waited_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - wait.since).count())}});
+                                     {"target", first->registered.id.value},
+                                     {"silences", std::to_string(first->silencesInRow)},
+                                     {"waited_ms", std::to_string(std::chrono::duration_cast<milliseconds>(now - wait.since).count())}});
     restartOnOtherChain("first engine is silent");
     return true;
 }
