Keep the refusals of an engine when a stream that began before them completes

Cause: a draining engine completes the streams that it has, and each completion cleared the count of its refusals. Change: a success counts only for refusals before the request was sent.

--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -85,6 +85,7 @@
     const milliseconds backoff = std::min(initialRefusalBackoff * (1 << doublings), maxRefusalBackoff);
     target.avoidUntil = std::max(target.avoidUntil, now + backoff);
     ++target.refusalsInRow;
+    target.refusedAt = now;
 }
 
 void recordStreamBegun(Target &target, TimePoint now)
@@ -122,13 +123,16 @@
     target.needsProbe = false;
 }
 
-void recordSuccess(Target &target)
+void recordSuccess(Target &target, TimePoint sentAt)
 {
     target.unansweredProbesInRow = 0;
     target.failuresInRow = 0;
-    target.refusalsInRow = 0;
     target.needsProbe = false;
-    target.avoidUntil = TimePoint();
+    const bool hasRefusedSince = target.refusalsInRow > 0 && sentAt <= target.refusedAt;
+    if (!hasRefusedSince) {
+        target.refusalsInRow = 0;
+        target.avoidUntil = TimePoint();
+    }
 }
 
 } // namespace Parsleytrail
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -66,7 +66,8 @@
     TimePoint avoidUntil{};           ///< after failures or refusals: gets no work before this time
     int failuresInRow = 0;            ///< requests and probes that failed since the last successful request
     int unansweredProbesInRow = 0;    ///< probes without a valid response, and reports that requests wait for it, since its last valid response
-    int refusalsInRow = 0;            ///< requests that it refused without running them, since the last successful request
+    int refusalsInRow = 0;            ///< requests that it refused without running them, since it last accepted one
+    TimePoint refusedAt{};            ///< when it last refused a request
     int peersAvoiding = 0;            ///< other entries that send it no work at present, after failures or refusals, as last reported
     int silencesInRow = 0;            ///< streams given up because it did not begin them, since it last began one
     TimePoint noNewStreamsUntil{};    ///< after a silence: is not the first engine of a stream before this time
@@ -128,7 +129,9 @@
 bool isFailing(const Target &target, TimePoint now);
 /// Whether it gets no work at present, after failures or refusals. Reported to other entries, which then prefer other targets.
 bool isAvoided(const Target &target, TimePoint now);
-void recordSuccess(Target &target);
+/// Records that a request sent at `sentAt` succeeded. One that was sent before the last refusal says nothing about that: a draining
+/// engine completes the requests that it has.
+void recordSuccess(Target &target, TimePoint sentAt);
 /// Records that the target answered a probe. It is reachable, but requests to it may still fail.
 void recordProbeResponse(Target &target);
 
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -56,6 +56,7 @@
         return m_request.route->kind == CallKind::Idempotent;
     }
 
+    TimePoint m_sentAt{}; ///< when the current attempt was sent
     TargetId m_target;
     std::vector<TargetId> m_excludedTargets; ///< targets that are not tried again
     std::string m_bufferedBody;              ///< response body received so far
@@ -111,6 +112,7 @@
     ++target->openRequests;
     m_isCounted = true;
     m_bufferedBody.clear();
+    m_sentAt = m_context.clock.now();
     sendTo(m_target, target->registered.address, {});
 }
 
@@ -166,7 +168,7 @@
     const bool isAuthenticResult = head.status < 500 && isAuthenticResponse(names, head, m_request.attemptId);
     if (isAuthenticResult && !guaranteesNotRun(head.status)) {
         if (Target *target = findTarget(m_context.fleet, m_target)) {
-            recordSuccess(*target);
+            recordSuccess(*target, m_sentAt);
         }
         return relayResponse();
     }
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -119,6 +119,7 @@
     std::uint64_t m_lastEventId = 0;   ///< id of the last event relayed
     std::uint64_t m_resumeAfterId = 0; ///< the caller requested the events after this id
     TimePoint m_lastProgressAt{};      ///< start of the attempt or its last event
+    TimePoint m_chainSince{};          ///< when the request was sent to the engines of its chain, or moved there
     TimePoint m_chainSearchedAt{};     ///< last search for a chain while waiting for one
     TimePoint m_leaveAt{};             ///< when the stream leaves a draining engine of its chain; zero: none drains
     TimePoint m_leavingSince{};        ///< since when an engine of the chain is leaving and no chain of the data centre avoids it
@@ -268,6 +269,7 @@
     m_hasEvents = false;
     m_isEventMissing = false;
     m_lastProgressAt = now;
+    m_chainSince = now;
     m_queriedAt = now;
     sendTo(m_chain.front().id, m_chain.front().address, added);
 }
@@ -396,7 +398,7 @@
     }
     for (const ChainStage &stage : m_chain) {
         if (Target *target = findTarget(m_context.fleet, stage.id)) {
-            recordSuccess(*target);
+            recordSuccess(*target, m_chainSince);
         }
     }
     m_request.exchange->complete();
@@ -514,6 +516,7 @@
     m_chain = std::move(chain);
     reserve(+1);
     m_moveAttemptedAt = selectionContext.now;
+    m_chainSince = selectionContext.now;
     const int move = ++m_moves;
     m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move, previousChain = std::move(selectionContext.current)](bool isMoved) {
         if (const auto self = weak.lock()) {
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -78,7 +78,7 @@
     }
     BOOST_TEST(!isUsable(target, start + maxFailureBackoff - milliseconds(1)));
     BOOST_TEST(isUsable(target, start + maxFailureBackoff));
-    recordSuccess(target);
+    recordSuccess(target, start);
     BOOST_TEST(isUsable(target, start));
 }
 
@@ -98,11 +98,26 @@
         recordRefusal(target, start);
     }
     BOOST_TEST(isUsable(target, start + maxRefusalBackoff));
-    recordSuccess(target);
+    recordSuccess(target, start + milliseconds(1));
     recordRefusal(target, start + maxRefusalBackoff);
     BOOST_TEST(isUsable(target, start + maxRefusalBackoff + initialRefusalBackoff));
 }
 
+/// Guards against a draining engine that is tried again and again: the streams that it completes began before it drained, and
+/// cleared its refusals.
+BOOST_AUTO_TEST_CASE(aRequestSentBeforeARefusalDoesNotClearIt)
+{
+    Target target;
+    recordRefusal(target, start);
+    recordRefusal(target, start);
+    recordSuccess(target, start - milliseconds(500));
+    BOOST_TEST(target.refusalsInRow == 2);
+    BOOST_TEST(!isUsable(target, start + initialRefusalBackoff));
+    recordSuccess(target, start + milliseconds(1));
+    BOOST_TEST(target.refusalsInRow == 0);
+    BOOST_TEST(isUsable(target, start + milliseconds(1)));
+}
+
 /// Guards against a table copy that starts after a later change than the last one received: the changes in between were
 /// lost, and work was sent to targets that had left.
 BOOST_AUTO_TEST_CASE(aTableCopyThatSkipsChangesIsRejected)
@@ -128,7 +143,7 @@
     BOOST_TEST(isAvoided(target, now));
     BOOST_TEST(!isFailing(target, now));
     BOOST_TEST(!isAvoided(target, now + initialRefusalBackoff));
-    recordSuccess(target);
+    recordSuccess(target, now + milliseconds(1));
     recordFailure(target, now);
     BOOST_TEST(isAvoided(target, now));
 }
