Copy configurations up to 64 KB from the aggregator instead of the store

Change: a follower copies a configuration from the aggregator of its group, like targets, unless the one in force is larger than 64 KB; if the copy fails it watches the store itself as before. Copies of the two tables no longer wait for each other.

--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 
 #include <map>
+#include <set>
 
 namespace Parsleytrail
 {
@@ -25,9 +26,11 @@
     TimePoint storeRecoveredAt{};                ///< when the store last recovered; zero: it was never lost
     TimePoint storeLostAt{};                     ///< when the store was last lost
     bool isStoreUnreachable = false;
-    bool hadCompleteList = false; ///< before the store was last lost; targets whose rows expired since are kept for expiredEntryGrace
-    bool isCopying = false;       ///< a copy was requested from a peer
+    bool hadCompleteList = false;       ///< before the store was last lost; targets whose rows expired since are kept for expiredEntryGrace
+    std::set<std::string> copying{};    ///< tables of which a copy was requested from a peer
+    std::size_t configurationBytes = 0; ///< size of the configuration in force
 
+    void fetchConfiguration(const std::string &aggregator);
     void fetchCopy(TableWatcher &watcher, const std::string &table, const std::string &host);
     void applyConfiguration(const Row &row);
     void applyTarget(const Row &row);
@@ -124,8 +127,7 @@
         d->configuration->followPeer();
         d->targets->followPeer();
         if (entries.configuration.change > d->configuration->lastChange()) {
-            // A configuration has some hundred KB: the store sends it to many entries at once faster than the aggregator.
-            d->configuration->queryNow();
+            d->fetchConfiguration(others.aggregator);
         }
         if (entries.targets.change > d->targets->lastChange()) {
             d->fetchCopy(*d->targets, d->context.adapter.targetTable(), others.aggregator);
@@ -147,9 +149,22 @@
 constexpr milliseconds copyTimeout{1000};    ///< a copy of all rows is some hundred KB at most
 constexpr milliseconds changesTimeout{400};  ///< changes are a few rows; on a timeout the watcher watches the table itself
 
+/// Configurations above this size are read from the store, which sends them to many entries at once faster than the aggregator:
+/// its link may carry 20 Mbit/s, and a group has up to 24 members.
+constexpr std::size_t maxCopiedConfigurationBytes = 64 * 1024;
+
+/// Fetches a newer configuration that the aggregator of this entry's group has. Calls to the store are limited and charged.
+void Registry::Private::fetchConfiguration(const std::string &aggregator)
+{
+    if (configurationBytes > maxCopiedConfigurationBytes) {
+        return configuration->queryNow();
+    }
+    fetchCopy(*configuration, context.adapter.configurationTable(), aggregator);
+}
+
 void Registry::Private::fetchCopy(TableWatcher &watcher, const std::string &table, const std::string &host)
 {
-    if (isCopying) {
+    if (copying.contains(table)) {
         return;
     }
     HttpClientRequest request;
@@ -161,10 +176,10 @@
     if (!encode(wanted, copyWireVersion, request.body)) {
         return;
     }
-    isCopying = true;
+    copying.insert(table);
     const Address address{host, static_cast<std::uint16_t>(context.settings.peerPort)};
     client.fetch(address, std::move(request), [this, &watcher, table, host, after = wanted.after](const HttpResult &result) {
-        isCopying = false;
+        copying.erase(table);
         TableCopy copy;
         const bool isCopy = result.isOk() && decode(result.body, copyWireVersion, copy) && copy.table == table && copy.after == after;
         const std::size_t changed = copy.rows.size() + copy.removed.size();
@@ -226,6 +241,7 @@
                                            {"routes", std::to_string(table->routes.size())},
                                            {"keys", std::to_string(table->keyOwners.size())}});
     context.routes = std::move(table);
+    configurationBytes = row.value.size();
     handlers.onRoutes();
 }
 
