--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -4,8 +4,10 @@
 
 #include "base/log.h"
 #include "base/text.h"
+#include "policy/chain_health.h"
 #include "policy/cross_data_center_budget.h"
 #include "policy/departure.h"
+#include "relay/stream_demand.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -72,15 +74,11 @@
     }
 
 private:
-    void readDemand();
     ChainSelectionContext makeSelectionContext() const;
     std::vector<ChainStage> findChain(const ChainSelectionContext &selectionContext);
     void startAttempt();
     void startOnChain(std::vector<ChainStage> chain);
     bool startMove();
-    bool isChainBroken(TimePoint now) const;
-    bool isStageReleased() const;
-    bool isStageDraining() const;
     bool isLeaveDue(TimePoint now);
     void handleMoveResult(bool isMoved, int move, const std::vector<ChainStage> &previousChain);
     int startedAttempts() const;
@@ -142,30 +140,13 @@
 
 void StreamForwarding::begin()
 {
-    readDemand();
-    installCallerHandlers();
-    startAttempt();
-}
-
-void StreamForwarding::readDemand()
-{
-    const HeaderNames &names = m_context.adapter.headers();
     const HttpHead &head = m_request.exchange->head();
-    const EngineModel &model = *m_request.service->engine;
-    m_demand.promptTokens = model.meanPromptTokens;
-    m_demand.answerTokens = model.meanAnswerTokens;
-    const std::vector<std::string> counts = splitList(head.find(names.tokenCounts), ',');
-    double maxAnswerTokens = 0;
-    if (counts.size() == 2 && parseNumber(counts[0], m_demand.promptTokens) && parseNumber(counts[1], maxAnswerTokens)) {
-        double estimate = 0;
-        // The caller's estimate is right in the median but often far off, so it is averaged with the usual length.
-        if (parseNumber(head.find(names.answerEstimate), estimate)) {
-            m_demand.answerTokens = (estimate + model.meanAnswerTokens) / 2;
-        }
-        m_demand.answerTokens = std::min(m_demand.answerTokens, maxAnswerTokens);
-    }
+    const HeaderNames &names = m_context.adapter.headers();
+    m_demand = readStreamDemand(head, names, *m_request.service->engine);
     parseNumber(head.find(names.lastEventId), m_resumeAfterId);
     m_lastEventId = m_resumeAfterId;
+    installCallerHandlers();
+    startAttempt();
 }
 
 /// Adds (`direction` +1) or removes (-1) the request and its planned KV cache at the engines of its chain.
@@ -526,44 +507,13 @@
     return true;
 }
 
-/// Whether an engine of the chain other than the first was removed or does not respond.
-///
-/// A stream whose engine failed and that can't be restarted, because its attempts or the retry budget are used up, stays at
-/// its first engine. Other engines often hold the lost layers again within a second. Until the stream is moved to them its
-/// caller gets no events, and disconnects after some two seconds.
-bool StreamForwarding::isChainBroken(TimePoint now) const
-{
-    return m_chain.size() > 1 && std::any_of(m_chain.begin() + 1, m_chain.end(), [&](const ChainStage &stage) {
-               const Target *target = findTarget(m_context.fleet, stage.id);
-               return !target || isFailing(*target, now);
-           });
-}
-
-/// Whether an engine of the chain releases the stream's layers.
-bool StreamForwarding::isStageReleased() const
-{
-    return std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainStage &stage) {
-        const Target *target = findTarget(m_context.fleet, stage.id);
-        return target && !target->registered.layers.contains(stage.layers);
-    });
-}
-
-/// Whether an engine of the chain drains. Some engines are only removed from the registry and serve on for as long.
-bool StreamForwarding::isStageDraining() const
-{
-    return std::any_of(m_chain.begin() + 1, m_chain.end(), [this](const ChainStage &stage) {
-        const Target *target = findTarget(m_context.fleet, stage.id);
-        return !target || target->registered.isDraining;
-    });
-}
-
 /// Whether the stream is to leave an engine now: released layers at once, a draining engine after a random delay.
 bool StreamForwarding::isLeaveDue(TimePoint now)
 {
-    if (isStageReleased()) {
+    if (hasReleasedStage(m_context.fleet, m_chain)) {
         return true;
     }
-    if (!isStageDraining()) {
+    if (!hasDrainingStage(m_context.fleet, m_chain)) {
         m_leaveAt = TimePoint();
         return false;
     }
@@ -681,7 +631,7 @@
 bool StreamForwarding::restartIfFirstEngineIsSilent(TimePoint now)
 {
     Target *first = m_hasEvents || m_chain.empty() ? nullptr : findTarget(m_context.fleet, m_chain.front().id);
-    if (!first || isChainBroken(now)) {
+    if (!first || hasFailedStage(m_context.fleet, m_chain, now)) {
         return false;
     }
     const FirstEventWait wait{std::max(m_lastProgressAt, m_moveAttemptedAt), first->lastBegunAt};
@@ -715,7 +665,9 @@
         return retryChainSearch(now);
     }
     const bool isMoveDue = now - m_lastProgressAt >= stallThreshold(m_context.averageEventGapMs) && now - m_moveAttemptedAt >= moveRetryInterval;
-    if (isMoveDue && isChainBroken(now)) {
+    // A stream that can't be restarted, because its attempts or the retry budget are used up, stays at its first engine until others
+    // hold the lost layers again.
+    if (isMoveDue && hasFailedStage(m_context.fleet, m_chain, now)) {
         m_moveAttemptedAt = now;
         if (startMove()) {
             return;
