--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -48,10 +48,10 @@
     std::unordered_map<ServiceName, TokenBucket> crossDataCenterBudgets{};
     std::mt19937_64 random{}; ///< seeded by the id and the start time, so that a run can be reproduced
     RelayMetrics metrics{};
-    double averageEventGapMs = 50; ///< moving average of the time between two events of a stream, in milliseconds
+    double averageEventGapMs = 50;   ///< moving average of the time between two events of a stream, in milliseconds
     DelayEstimate firstEventDelay{}; ///< from sending a request to the first event, of streams that began here
-    EntryCount entryCount{};       ///< number of entries that share budgets
-    bool hasRetryShare = false;    ///< this entry was granted its full share of the retry budgets
+    EntryCount entryCount{};         ///< number of entries that share budgets
+    bool hasRetryShare = false;      ///< this entry was granted its full share of the retry budgets
 };
 
 /// Records how many other entries are reachable now; the highest number counts.
