--- a/tests/departure_test.cpp
+++ b/tests/departure_test.cpp
@@ -40,6 +40,7 @@
     BOOST_TEST(longestPause(std::vector<milliseconds>(streams, milliseconds(0))).count() > acceptedPause.count());
     std::mt19937_64 random(1);
     std::vector<milliseconds> leaveTimes;
+    leaveTimes.reserve(streams);
     for (int i = 0; i < streams; ++i) {
         leaveTimes.push_back(drawLeaveDelay(drainTime, random));
     }
--- a/tests/silence_test.cpp
+++ b/tests/silence_test.cpp
@@ -24,6 +24,7 @@
 std::vector<ChainStage> chainOf(const std::vector<std::string> &engines)
 {
     std::vector<ChainStage> chain;
+    chain.reserve(engines.size());
     for (const std::string &id : engines) {
         chain.push_back({TargetId{id}, {}, {}});
     }
