Log which requests were open at a target when it crashed

Cause: events 202 and 203 name attempt ids, which are new with each attempt, and nothing told a crash from a closed connection, so the hypotheses of the incident could not be told apart. Change: after a connection ended with a request on it, one connection tests whether the target still listens. Event 216 names the target and the request's fingerprint, the same for all attempts; 202 and 203 carry it too. No decision uses it yet.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -21,8 +21,8 @@
 class CallForwarding final : public TargetForwarding
 {
 public:
-    CallForwarding(RelayContext &context, ForwardedRequest request)
-        : TargetForwarding(context, std::move(request))
+    CallForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
+        : TargetForwarding(context, std::move(request), hooks)
     {
     }
 
@@ -253,9 +253,9 @@
     end();
 }
 
-ForwardingPtr makeCallForwarding(RelayContext &context, ForwardedRequest request)
+ForwardingPtr makeCallForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
 {
-    return std::make_shared<CallForwarding>(context, std::move(request));
+    return std::make_shared<CallForwarding>(context, std::move(request), hooks);
 }
 
 } // namespace Parsleytrail
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -30,6 +30,8 @@
     std::uint64_t &storeCalls = all.counter("parsley_relay_store_calls", "Calls to the platform's store.");
     std::uint64_t &probes = all.counter("parsley_relay_probes", "Reports asked of engines.");
     std::uint64_t &orders = all.counter("parsley_relay_orders", "Orders sent to engines.");
+    std::uint64_t &crashChecks = all.counter("parsley_relay_crash_checks", "Connections that tested whether a target crashed.");
+    std::uint64_t &crashedRuns = all.counter("parsley_relay_crashed_runs", "Requests that were open at a target when it crashed.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
     double &openRequests = all.gauge("parsley_relay_open_requests", "Requests being answered.");
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -1,5 +1,6 @@
 #include "relay/forwarded_request.h"
 
+#include "base/digest.h"
 #include "base/log.h"
 #include "base/text.h"
 
@@ -71,6 +72,21 @@
     return bytes;
 }
 
+std::uint64_t inputFingerprint(const ForwardedRequest &request)
+{
+    const HttpHead &head = request.exchange->head();
+    std::uint64_t hash = hash64(request.exchange->body());
+    for (const std::string_view part : {std::string_view(request.workspace.value), head.find("Host"), std::string_view(head.target), std::string_view(head.method)}) {
+        hash = hash64(part, hash);
+    }
+    return hash;
+}
+
+std::string inputText(const ForwardedRequest &request)
+{
+    return absl::StrCat(absl::Hex(inputFingerprint(request), absl::kZeroPad16));
+}
+
 milliseconds clampedRetryAfter(milliseconds wanted, milliseconds timeLeft)
 {
     constexpr double usableShare = 0.3; // callers wait for up to a third of their remaining time
@@ -109,6 +125,7 @@
                                     {"attempts", std::to_string(attempts)},
                                     {"status", status == 0 ? "cut" : std::to_string(status)},
                                     {"total_ms", millisecondsText(request.exchange->receivedAt(), now)},
+                                    {"input", inputText(request)},
                                     {"configuration", versionText(request)}});
     if (status == 0) {
         request.exchange->abort();
@@ -150,6 +167,7 @@
                                      {"reason", std::string(reason)},
                                      {"target", std::string(target)},
                                      {"attempts", std::to_string(attempts)},
+                                     {"input", inputText(request)},
                                      {"after_ms", millisecondsText(request.exchange->receivedAt(), context.clock.now())}});
 }
 
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -11,6 +11,7 @@
 #include "policy/silence.h"
 #include "relay/caller_session.h"
 #include "relay/context.h"
+#include "relay/crash_detector.h"
 
 #include <memory>
 #include <string>
@@ -60,6 +61,8 @@
 
 /// Callbacks from a forwarding to its relay.
 struct ForwardingHooks {
+    /// Finds out whether a target crashed that closed a connection with a request on it; see CrashDetector.
+    std::function<void(const TargetId &target, std::function<void(TargetCondition)> done)> checkForCrash;
     /// Requests a report from an engine: the layers it holds, and which engines the requests that it started wait for.
     std::function<void(const TargetId &engine)> requestEngineReport;
     /// Orders a request's first engine to continue through another chain; `done` gets whether the engine accepted.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -52,6 +52,7 @@
     ForwardingHooks hooks;
     std::unique_ptr<Registry> registry{};
     std::unique_ptr<EngineProber> prober{};
+    std::unique_ptr<CrashDetector> crashDetector{};
     std::unique_ptr<LeaseManager> lease{};
     std::unique_ptr<PlacementController> placement{};
     std::unique_ptr<RelayPeers> peers{};
@@ -385,6 +386,10 @@
     data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done) {
         data.moveStream(attemptId, chain, std::move(done));
     };
+    data.crashDetector = std::make_unique<CrashDetector>(data.context);
+    data.hooks.checkForCrash = [&data](const TargetId &target, std::function<void(TargetCondition)> done) {
+        data.crashDetector->check(target, std::move(done));
+    };
     data.hooks.requestEngineReport = [&data](const TargetId &first) {
         data.prober->probe(first);
     };
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -58,8 +58,7 @@
 {
 public:
     StreamForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
-        : TargetForwarding(context, std::move(request))
-        , m_hooks(hooks)
+        : TargetForwarding(context, std::move(request), hooks)
     {
     }
 
@@ -109,7 +108,6 @@
         return m_chain.empty() ? std::string() : m_chain.front().id.value;
     }
 
-    const ForwardingHooks &m_hooks;
     StreamDemand m_demand;
     std::vector<ChainStage> m_chain;
     std::set<TargetId> m_excluded;
@@ -694,7 +692,7 @@
 {
     const bool isChained = request.route->kind == CallKind::Stream && request.service->engine;
     if (!isChained) {
-        return makeCallForwarding(context, std::move(request));
+        return makeCallForwarding(context, std::move(request), hooks);
     }
     return std::make_shared<StreamForwarding>(context, std::move(request), hooks);
 }
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -1,10 +1,13 @@
 #include "relay/target_forwarding.h"
 
+#include "base/log.h"
+
 namespace Parsleytrail
 {
 
-TargetForwarding::TargetForwarding(RelayContext &context, ForwardedRequest request)
+TargetForwarding::TargetForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
     : m_context(context)
+    , m_hooks(hooks)
     , m_request(std::move(request))
 {
 }
@@ -43,12 +46,32 @@
     handlers.onDone = [self = shared_from_this(), this] {
         handleEnd();
     };
-    handlers.onFailure = [self = shared_from_this(), this](const TargetFailure &failure) {
+    handlers.onFailure = [self = shared_from_this(), this, target, sentAt = m_context.clock.now()](const TargetFailure &failure) {
+        if (failure.mayHaveRun) {
+            logCrash(target, sentAt);
+        }
         handleFailure(failure);
     };
     m_exchange = TargetExchange::start(m_context.connections, std::move(request), std::move(handlers));
 }
 
+void TargetForwarding::logCrash(const TargetId &target, TimePoint sentAt)
+{
+    m_hooks.checkForCrash(target, [self = shared_from_this(), this, target, sentAt, failedAt = m_context.clock.now()](TargetCondition condition) {
+        if (condition == TargetCondition::Running) {
+            return;
+        }
+        ++m_context.metrics.crashedRuns;
+        const auto open = std::chrono::duration_cast<milliseconds>(failedAt - sentAt);
+        logEvent(Event::TargetCrashed, {{"target", target.value},
+                                        {"condition", toString(condition)},
+                                        {"id", m_request.attemptId},
+                                        {"input", inputText(m_request)},
+                                        {"workspace", m_request.workspace.value},
+                                        {"open_ms", std::to_string(open.count())}});
+    });
+}
+
 void TargetForwarding::cancelExchange()
 {
     if (m_exchange) {
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -18,7 +18,7 @@
     }
 
 protected:
-    TargetForwarding(RelayContext &context, ForwardedRequest request);
+    TargetForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks);
 
     /// Installs the caller's handlers: a disconnect ends the forwarding; once buffered bytes are sent, reading from the target
     /// resumes.
@@ -39,7 +39,11 @@
     /// Releases the resources of the current attempt.
     virtual void endAttempt() = 0;
 
+    /// Logs whether the target crashed with this request on it.
+    void logCrash(const TargetId &target, TimePoint sentAt);
+
     RelayContext &m_context;
+    const ForwardingHooks &m_hooks;
     ForwardedRequest m_request;
     TargetExchangePtr m_exchange; ///< exchange with the current target; null between attempts
     int m_attempts = 0;           ///< number of attempts that a target may have started
@@ -48,6 +52,6 @@
 };
 
 /// A forwarding to a plain service.
-ForwardingPtr makeCallForwarding(RelayContext &context, ForwardedRequest request);
+ForwardingPtr makeCallForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks);
 
 } // namespace Parsleytrail
