--- a/stand-ins/raw_target.cpp
+++ b/stand-ins/raw_target.cpp
@@ -33,11 +33,15 @@
     std::map<int, ConnectionPtr> connections; ///< open, by number
     std::set<ConnectionPtr> closing;          ///< still writing their last response
     std::vector<std::unique_ptr<Timer>> delayTimers;
+    Address address;
+    bool isCrashed = false;
     int accepted = 0;
     int closed = 0;
 
     void handleInput(int number);
     void reply(int number, const RawReply &reply);
+    void listen();
+    void crash();
 };
 
 void RawTarget::Private::handleInput(int number)
@@ -77,6 +81,9 @@
     if (it == connections.end()) {
         return;
     }
+    if (reply.crashes) {
+        return crash();
+    }
     const ConnectionPtr connection = it->second;
     connection->write(reply.bytes);
     if (reply.resets || reply.closes) {
@@ -92,29 +99,46 @@
     }
 }
 
-RawTarget::RawTarget(EventLoop &loop, Handler handler)
-    : d(std::make_unique<Private>(loop, std::move(handler)))
+void RawTarget::Private::listen()
 {
-    d->listener = std::make_unique<Listener>(loop, [this](int socket) {
-        const int number = ++d->accepted;
-        const ConnectionPtr connection = Connection::adopt(d->loop, socket);
-        d->connections[number] = connection;
+    listener = std::make_unique<Listener>(loop, [this](int socket) {
+        const int number = ++accepted;
+        const ConnectionPtr connection = Connection::adopt(loop, socket);
+        connections[number] = connection;
         Connection::Handlers handlers;
         handlers.onInput = [this, number] {
-            d->handleInput(number);
+            handleInput(number);
         };
         handlers.onEnd = [this, number](ConnectionEnd) {
-            ++d->closed;
-            d->connections.erase(number);
+            ++closed;
+            connections.erase(number);
         };
         connection->setHandlers(std::move(handlers));
     });
     Error error;
     runCatching(
         [this] {
-            return d->listener->listen({"127.0.0.1", 0});
+            return listener->listen(address);
         },
         error);
+    address.port = listener->port();
+}
+
+void RawTarget::Private::crash()
+{
+    isCrashed = true;
+    listener.reset();
+    delayTimers.clear();
+    for (const auto &[number, connection] : std::exchange(connections, {})) {
+        connection->reset();
+    }
+}
+
+RawTarget::RawTarget(EventLoop &loop, Handler handler)
+    : d(std::make_unique<Private>(loop, std::move(handler)))
+{
+    d->address = {"127.0.0.1", 0};
+    d->listen();
 }
 
 RawTarget::~RawTarget()
@@ -127,7 +151,7 @@
 
 Address RawTarget::address() const
 {
-    return {"127.0.0.1", d->listener->port()};
+    return d->address;
 }
 
 const std::vector<RawRequest> &RawTarget::requests() const
@@ -147,6 +171,22 @@
     }
 }
 
+void RawTarget::crash()
+{
+    d->crash();
+}
+
+void RawTarget::restart()
+{
+    d->isCrashed = false;
+    d->listen();
+}
+
+bool RawTarget::isCrashed() const
+{
+    return d->isCrashed;
+}
+
 void RawTarget::closeConnections()
 {
     for (const auto &[number, connection] : std::exchange(d->connections, {})) {
--- a/stand-ins/raw_target.h
+++ b/stand-ins/raw_target.h
@@ -28,6 +28,7 @@
     std::string bytes;     ///< sent unchanged
     bool closes = false;   ///< closes the connection after the bytes are written
     bool resets = false;   ///< resets the connection after the bytes are passed to it
+    bool crashes = false;  ///< the target crashes instead of sending the bytes
     milliseconds delay{0}; ///< time before the bytes are sent
 };
 
@@ -47,6 +48,11 @@
     int closedConnections() const;
     /// Sends bytes on all open connections, although no request asks for them.
     void sendUnsolicited(const std::string &bytes);
+    /// Resets all connections and stops listening.
+    void crash();
+    /// Listens again at the same address after a crash.
+    void restart();
+    bool isCrashed() const;
     /// Closes all connections without a reset, as after an idle timeout.
     void closeConnections();
 
