--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -33,6 +33,7 @@
     std::uint64_t &orders = all.counter("parsley_relay_orders", "Orders sent to engines.");
     std::uint64_t &crashChecks = all.counter("parsley_relay_crash_checks", "Connections that tested whether a target crashed.");
     std::uint64_t &crashedRuns = all.counter("parsley_relay_crashed_runs", "Requests that were open at a target when it crashed.");
+    std::uint64_t &limitedSends = all.counter("parsley_relay_limited_sends", "Requests sent to targets that name a limit of requests a second.");
     std::uint64_t &quarantined = all.counter("parsley_relay_quarantined", "Requests refused because they crash targets.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Parsleytrail
 {
@@ -193,6 +194,13 @@
     return head.find(names.attemptId) == attemptId && head.has(names.seal) && !head.has("Content-Encoding");
 }
 
+double parseRequestLimit(std::string_view text)
+{
+    double limit = 0;
+    const bool isNumber = parseNumber(trimmed(text), limit);
+    return isNumber && std::isfinite(limit) ? std::max(limit, 0.0) : 0;
+}
+
 bool guaranteesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -60,6 +60,8 @@
 /// Whether a response was produced by the target itself: it echoes the attempt id, has a seal, and has no content encoding,
 /// so that the body is as the target made it.
 bool isAuthenticResponse(const HeaderNames &names, const HttpHead &head, const std::string &attemptId);
+/// Requests a second from the header field in which a target names its limit; zero if there is none or it is no positive number.
+double parseRequestLimit(std::string_view text);
 /// Whether callers treat a status as a guarantee that the request has not run and never will.
 bool guaranteesNotRun(int status);
 
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -37,7 +37,8 @@
     request.idField = m_context.adapter.headers().attemptId;
     request.id = m_request.attemptId;
     TargetExchange::Handlers handlers;
-    handlers.onHead = [self = shared_from_this(), this](const HttpHead &head) {
+    handlers.onHead = [self = shared_from_this(), this, target](const HttpHead &head) {
+        recordNamedLimit(target, head);
         handleHead(head);
     };
     handlers.onBody = [self = shared_from_this(), this](std::string &body) {
@@ -47,6 +48,7 @@
         handleEnd();
     };
     const Target *registered = findTarget(m_context.fleet, target);
+    m_context.metrics.limitedSends += registered && registered->requestLimit > 0 ? 1 : 0;
     const SentRequest sent{target, registered ? registered->registered.startedAtMs : 0, m_context.clock.now(), ++m_sent};
     handlers.onFailure = [self = shared_from_this(), this, sent](const TargetFailure &failure) {
         if (failure.mayHaveRun) {
@@ -58,6 +60,20 @@
     m_exchange = TargetExchange::start(m_context.connections, std::move(request), std::move(handlers));
 }
 
+/// Reads the limit of requests a second from a target's response. A response without one ends it.
+void TargetForwarding::recordNamedLimit(const TargetId &id, const HttpHead &head)
+{
+    Target *target = findTarget(m_context.fleet, id);
+    if (!target || !isAuthenticResponse(m_context.adapter.headers(), head, m_request.attemptId)) {
+        return;
+    }
+    const double named = parseRequestLimit(head.find(m_context.adapter.headers().requestLimit));
+    if (named != target->requestLimit) {
+        logEvent(Event::TargetLimitChanged, {{"target", id.value}, {"limit", std::to_string(named)}, {"before", std::to_string(target->requestLimit)}});
+    }
+    target->requestLimit = named;
+}
+
 /// Handles a failure once it is known whether the target crashed: a request that crashes its targets must not go to the next one.
 void TargetForwarding::handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure)
 {
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -58,6 +58,7 @@
         TimePoint sentAt{};
         int number = 0; ///< of the requests that this forwarding has sent
     };
+    void recordNamedLimit(const TargetId &id, const HttpHead &head);
     void handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure);
     void recordCondition(const SentRequest &sent, TargetCondition condition, TimePoint failedAt);
 
