--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -54,6 +54,8 @@
     bool refusesNewStreams = false;
     bool ignoresNewStreams = false;
     bool ignoresMoves = false;
+    double namedLimit = 0; ///< requests a second; zero: none
+    std::vector<TimePoint> streamStarts;
     bool isAlive() const
     {
         return !isUnresponsive && !isDead;
@@ -175,7 +177,9 @@
     parseNumber(head.find("Last-Event-Id"), last);
     stream->next = last + 1;
     ++startedStreams;
-    connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id
+    engine.streamStarts.push_back(std::chrono::steady_clock::now());
+    const std::string limit = engine.namedLimit > 0 ? absl::StrCat("\r\nServer-Limit: ", engine.namedLimit) : std::string();
+    connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id + limit
                       + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     stream->eventTimer = std::make_unique<Timer>(loop, [this, weak = std::weak_ptr(stream)] {
         if (const auto self = weak.lock()) {
@@ -374,6 +378,16 @@
     d->engines.at(id)->ignoresNewStreams = true;
 }
 
+void ChainEngines::nameLimit(const std::string &id, double perSecond)
+{
+    d->engines.at(id)->namedLimit = perSecond;
+}
+
+const std::vector<TimePoint> &ChainEngines::streamStarts(const std::string &id) const
+{
+    return d->engines.at(id)->streamStarts;
+}
+
 void ChainEngines::ignoreMoves(const std::string &id)
 {
     d->engines.at(id)->ignoresMoves = true;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -51,6 +51,11 @@
     /// Orders to load a range are executed, but get no response.
     void dropOrderResponses(bool drops);
 
+    /// The engine names a limit of requests a second in its responses; zero: none.
+    void nameLimit(const std::string &id, double perSecond);
+    /// When each stream whose first engine is this one was started.
+    const std::vector<TimePoint> &streamStarts(const std::string &id) const;
+
     /// Layers that the engine holds.
     LayerRange layers(const std::string &id) const;
     void setLayers(const std::string &id, LayerRange layers);
