--- a/stand-ins/application.cpp
+++ b/stand-ins/application.cpp
@@ -18,9 +18,14 @@
     std::vector<Booking> bookings;
     ApplicationCrash crash = ApplicationCrash::None;
     milliseconds responseDelay{0};
+    std::string crashingQuery; ///< empty: none
+    Address address;
+    int crashes = 0;
     std::list<std::unique_ptr<Timer>> timers;
 
+    Result<Address> listen(const Address &at);
     void handle(const ExchangePtr &exchange);
+    void crashNow(const ExchangePtr &exchange);
     void route(const ExchangePtr &exchange);
     void book(const ExchangePtr &exchange);
     void list(const ExchangePtr &exchange) const;
@@ -119,6 +124,9 @@
     if (crash == ApplicationCrash::Before) {
         return exchange->abort();
     }
+    if (!crashingQuery.empty() && exchange->request().query.find(crashingQuery) != std::string::npos) {
+        return crashNow(exchange);
+    }
     if (responseDelay.count() == 0) {
         return route(exchange);
     }
@@ -136,14 +144,56 @@
 
 Application::~Application() = default;
 
-Result<Address> Application::listen(const Address &address)
+Result<Address> Application::Private::listen(const Address &at)
 {
     HttpLimits limits;
     limits.maxBodyBytes = 32u << 20;
-    d->server = std::make_unique<HttpServer>(d->loop, limits, [this](const ExchangePtr &exchange) {
-        d->handle(exchange);
+    server = std::make_unique<HttpServer>(loop, limits, [this](const ExchangePtr &exchange) {
+        handle(exchange);
+    });
+    BOOST_LEAF_ASSIGN(address, server->listen(at));
+    return address;
+}
+
+void Application::Private::crashNow(const ExchangePtr &exchange)
+{
+    ++crashes;
+    exchange->abort();
+    // The server can't be destroyed while it handles a request.
+    loop.defer([this] {
+        server.reset();
     });
-    return d->server->listen(address);
+}
+
+Result<Address> Application::listen(const Address &address)
+{
+    return d->listen(address);
+}
+
+void Application::crashOnQuery(const std::string &text)
+{
+    d->crashingQuery = text;
+}
+
+int Application::crashes() const
+{
+    return d->crashes;
+}
+
+bool Application::isDown() const
+{
+    return !d->server;
+}
+
+bool Application::restart()
+{
+    Error error;
+    return runCatching(
+        [this]() -> Result<void> {
+            BOOST_LEAF_CHECK(d->listen(d->address));
+            return {};
+        },
+        error);
 }
 
 const std::vector<Booking> &Application::bookings() const
--- a/stand-ins/application.h
+++ b/stand-ins/application.h
@@ -44,6 +44,13 @@
     const std::vector<Booking> &bookings() const;
     /// Aborts the connection of calls before they run, or of bookings after they ran.
     void setCrash(ApplicationCrash crash);
+    /// Each call whose query contains `text` crashes the application: it aborts the call and stops listening until restart().
+    void crashOnQuery(const std::string &text);
+    /// Number of crashes so far, and whether it is down after the last one.
+    int crashes() const;
+    bool isDown() const;
+    /// Listens again at the same address. Returns whether it does.
+    bool restart();
     /// Delays the execution of every call by this time.
     void setResponseDelay(milliseconds delay);
 
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -378,4 +378,44 @@
     BOOST_TEST(bookingsRun(cluster) == 1u);
 }
 
+/// Guards against a call that crashes all applications of a service each time that its caller sends it again, through whichever entry.
+BOOST_AUTO_TEST_CASE(a_call_that_crashes_applications_is_refused_by_all_entries, *boost::unit_test::label("known_red"))
+{
+    ClusterOptions options;
+    options.entries = 2;
+    options.applications = 3;
+    Cluster cluster(options);
+    for (const auto &application : cluster.applications) {
+        application->crashOnQuery("poison");
+    }
+    const auto crashes = [&cluster] {
+        int sum = 0;
+        for (const auto &application : cluster.applications) {
+            sum += application->crashes();
+        }
+        return sum;
+    };
+    const auto sendAndRestart = [&](std::size_t entry) {
+        cluster.send(call("GET", "/services/booking/echo?poison"), entry);
+        for (const auto &application : cluster.applications) {
+            if (application->isDown()) {
+                BOOST_TEST_REQUIRE(application->restart());
+            }
+        }
+        cluster.wait("applications to serve again", [&] {
+            return cluster.send(call("GET", "/services/booking/echo"), entry).status == 200;
+        });
+    };
+    for (std::size_t i = 0; crashes() < 3 && i < 20; ++i) {
+        sendAndRestart(i % 2);
+    }
+    BOOST_TEST_REQUIRE(crashes() >= 3);
+    const int before = crashes();
+    for (std::size_t i = 0; i < 8; ++i) {
+        sendAndRestart(i % 2);
+    }
+    // As few as the platform of the relays allows after the third crash.
+    BOOST_TEST(crashes() - before <= 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
