Fix: a caller's response_format that is no object ended the entry

Callers saw: every open request of an entry broke off when one caller with a valid key sent "response_format": "text". Evidence: with the new row in badFields the test case ended with json.exception.type_error.306; now it is refused by name like the others. Why it works: only objects are asked for their type.

--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -135,7 +135,8 @@
     }
     const bool isNeutral = value.is_null() || value == false || (value.is_array() && value.empty()) || (value.is_object() && value.empty());
     if (field == "response_format") {
-        return isNeutral || value.value("type", json()) == "text" || refuse(error, field, "only the response format text is supported", "unsupported_value");
+        const bool isText = value.is_object() && value.value("type", json()) == "text";
+        return isNeutral || isText || refuse(error, field, "only the response format text is supported", "unsupported_value");
     }
     static const std::set<std::string> unsupported = {"stop",          "logprobs",   "top_logprobs", "tools",           "tool_choice", "functions",
                                                       "function_call", "logit_bias", "audio",        "modalities",      "prediction",  "parallel_tool_calls",
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -106,6 +106,7 @@
     {{{"logprobs", true}}, "logprobs"},
     {{{"stop", "x"}}, "stop"},
     {{{"response_format", {{"type", "json_object"}}}}, "response_format"},
+    {{{"response_format", "text"}}, "response_format"},
     {{{"no_such_field", 1}}, "no_such_field"},
     {{{"max_tokens", 0}}, "max_tokens"},
     {{{"max_tokens", -4}}, "max_tokens"},
