--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -19,17 +19,15 @@
     return isQuarantined(it->second) ? InputStatus::Quarantined : InputStatus::Suspect;
 }
 
+/// Drops the oldest input that is not quarantined, or the oldest one if all are.
 static void dropOldest(Quarantine &quarantine)
 {
-    auto oldest = quarantine.suspicions.end();
-    for (auto it = quarantine.suspicions.begin(); it != quarantine.suspicions.end(); ++it) {
-        if (!isQuarantined(it->second) && (oldest == quarantine.suspicions.end() || it->second.updatedAt < oldest->second.updatedAt)) {
-            oldest = it;
-        }
-    }
-    if (oldest != quarantine.suspicions.end()) {
-        quarantine.suspicions.erase(oldest);
-    }
+    const auto oldest = std::min_element(quarantine.suspicions.begin(), quarantine.suspicions.end(), [](const auto &a, const auto &b) {
+        const bool isHeldA = isQuarantined(a.second);
+        const bool isHeldB = isQuarantined(b.second);
+        return isHeldA != isHeldB ? isHeldB : a.second.updatedAt < b.second.updatedAt;
+    });
+    quarantine.suspicions.erase(oldest);
 }
 
 bool recordCrash(Quarantine &quarantine, std::uint64_t fingerprint, const Suspicion &suspicion, TimePoint now)
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -35,7 +35,7 @@
 enum class InputStatus { Clear, Suspect, Quarantined };
 
 constexpr std::size_t crashesToQuarantine = 2;
-constexpr std::size_t maxSuspicions = 4096;              ///< beyond it, the oldest input that is not quarantined is dropped
+constexpr std::size_t maxSuspicions = 4096;              ///< beyond it, the oldest input is dropped, quarantined ones last
 constexpr std::chrono::hours suspicionLifetime{1};       ///< suspect input without a further crash
 constexpr std::chrono::hours quarantineLifetime{24 * 7}; ///< quarantined input, unless an operator allows it earlier
 
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -70,6 +70,20 @@
     BOOST_TEST((classifyInput(quarantine, 7) == InputStatus::Clear));
 }
 
+/// Guards against growth without bound while all inputs of the table are quarantined.
+BOOST_AUTO_TEST_CASE(the_table_is_bounded)
+{
+    Quarantine quarantine;
+    TimePoint now{std::chrono::hours(1)};
+    for (std::uint64_t input = 0; input < maxSuspicions + 10; ++input) {
+        now += milliseconds(1);
+        recordCrash(quarantine, input, {{2 * input + 1, 2 * input + 2}}, now);
+    }
+    BOOST_TEST(quarantine.suspicions.size() == maxSuspicions);
+    BOOST_TEST((classifyInput(quarantine, 0) == InputStatus::Clear));
+    BOOST_TEST((classifyInput(quarantine, maxSuspicions + 9) == InputStatus::Quarantined));
+}
+
 BOOST_AUTO_TEST_CASE(a_crashing_input_costs_two_engines_and_no_other_input)
 {
     // Twenty streams run when one caller sends an input that crashes the first stage's engine. All inputs in flight there
