Chain search of the relay becomes a module of its own

No change of behaviour: findChain() moves out of stream_forwarding.cpp with the two functions that limits of targets brought. StreamForwarding::findChain -> findChain, StreamForwarding::findAdmittedChain -> findAdmittedChain, StreamForwarding::hasUnlimitedChain -> hasUnlimitedChain

--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -7,6 +7,7 @@
 #include "policy/chain_health.h"
 #include "policy/cross_data_center_budget.h"
 #include "policy/departure.h"
+#include "relay/chain_search.h"
 #include "relay/stream_demand.h"
 
 #include <absl/strings/str_cat.h>
@@ -77,9 +78,6 @@
 
 private:
     ChainSelectionContext makeSelectionContext() const;
-    std::vector<ChainStage> findChain(const ChainSelectionContext &selectionContext);
-    std::vector<ChainStage> findAdmittedChain(ChainSelectionContext selectionContext);
-    bool hasUnlimitedChain(ChainSelectionContext selectionContext);
     void startAttempt();
     void startOnChain(std::vector<ChainStage> chain);
     bool startMove();
@@ -214,48 +212,10 @@
     return selectionContext;
 }
 
-/// Selects a chain within one data centre. If there is none, selects one across data centres, provided that the budget for
-/// traffic between them allows it.
-std::vector<ChainStage> StreamForwarding::findChain(const ChainSelectionContext &selectionContext)
-{
-    ChainTuning tuning;
-    tuning.allowsCrossDataCenter = false;
-    std::vector<ChainStage> chain = selectChain(m_context.fleet, selectionContext, m_demand, m_context.random, tuning);
-    if (chain.empty() && hasCrossDataCenterBudget(crossDataCenterBudget(m_context, *m_request.service), selectionContext.now)) {
-        tuning.allowsCrossDataCenter = true;
-        chain = selectChain(m_context.fleet, selectionContext, m_demand, m_context.random, tuning);
-    }
-    return chain;
-}
-
-/// Selects a chain whose first engine takes the request under the limit of requests a second that it may have named.
-std::vector<ChainStage> StreamForwarding::findAdmittedChain(ChainSelectionContext selectionContext)
-{
-    for (;;) {
-        std::vector<ChainStage> chain = findChain(selectionContext);
-        Target *first = chain.empty() ? nullptr : findTarget(m_context.fleet, chain.front().id);
-        if (!first || admitRequest(m_context, *first)) {
-            return chain;
-        }
-        selectionContext.excludedAsFirst.insert(chain.front().id);
-    }
-}
-
-/// Whether there is a chain whose first engine names no limit. Unlike findAdmittedChain(), this does not count the request as wanted.
-bool StreamForwarding::hasUnlimitedChain(ChainSelectionContext selectionContext)
-{
-    for (const auto &[id, target] : m_context.fleet.targets) {
-        if (limitInForce(target.demand, selectionContext.now) > 0) {
-            selectionContext.excludedAsFirst.insert(id);
-        }
-    }
-    return !findChain(selectionContext).empty();
-}
-
 void StreamForwarding::startAttempt()
 {
     const ChainSelectionContext selectionContext = makeSelectionContext();
-    std::vector<ChainStage> chain = findAdmittedChain(selectionContext);
+    std::vector<ChainStage> chain = findAdmittedChain(m_context, *m_request.service, selectionContext, m_demand);
     if (chain.empty()) {
         return handleMissingChain(selectionContext);
     }
@@ -653,7 +613,7 @@
     }
     m_chainSearchedAt = now;
     // The search consumes nothing; a retry is consumed only if there is a chain.
-    std::vector<ChainStage> chain = findAdmittedChain(makeSelectionContext());
+    std::vector<ChainStage> chain = findAdmittedChain(m_context, *m_request.service, makeSelectionContext(), m_demand);
     if (!chain.empty() && tryConsumeServiceRetry(m_context, m_request.service->name)) {
         startOnChain(std::move(chain));
     }
@@ -676,7 +636,7 @@
     recordSilence(*first, now);
     m_excluded.insert(first->registered.id);
     // Without another chain the request stays: an engine that is only slow may still begin it.
-    if (!hasUnlimitedChain(makeSelectionContext())) {
+    if (!hasUnlimitedChain(m_context, *m_request.service, makeSelectionContext(), m_demand)) {
         return false;
     }
     logEvent(Event::StreamNotBegun, {{"id", m_request.attemptId},
