Guard of entry calls becomes a class of its own

No change of behaviour: what service_calls.cpp kept of crashes moves to entry/call_guard.h, beside the guard of streams. ServiceCalls::onCrashNotices -> CallGuard::onNotices, ServiceCalls::crashNotices -> CallGuard::notices, ServiceCalls::Private::recordCrash -> CallGuard::recordCrash, ServiceCalls::Private::handleCrashNotices -> CallGuard::handleNotices, ServiceCalls::Private::announceCrashes -> CallGuard::Private::announce

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -35,6 +35,7 @@
     std::unique_ptr<Store> store;
     std::unique_ptr<Targets> targets;
     std::unique_ptr<InputGuard> guard;
+    std::unique_ptr<CallGuard> callGuard;
     std::unique_ptr<Streams> streams;
     std::unique_ptr<UsageRecorder> usageRecorder;
     std::unique_ptr<KeyedCalls> keys;
@@ -153,10 +154,11 @@
     store = std::make_unique<Store>(loop, clock, client, platformAddress, limits);
     targets = std::make_unique<Targets>(*context);
     guard = std::make_unique<InputGuard>(*context);
+    callGuard = std::make_unique<CallGuard>(*context);
     streams = std::make_unique<Streams>(*context, *targets, *guard);
     usageRecorder = std::make_unique<UsageRecorder>(*context, *store);
     keys = std::make_unique<KeyedCalls>(*context, *store);
-    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *usageRecorder);
+    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *usageRecorder, *callGuard);
     completions = std::make_unique<Completions>(*context, *streams, *guard, *usageRecorder);
     configurationManager = std::make_unique<ConfigurationManager>(*context, *store);
     datagrams = std::make_unique<DatagramSocket>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
@@ -189,7 +191,7 @@
             links->link(peer)->send(notice);
         }
     });
-    calls->onCrashNotices([this](const CrashNotices &notices) {
+    callGuard->onNotices([this](const CrashNotices &notices) {
         if (settings.wireVersion < crashNoticesWireVersion) {
             return;
         }
@@ -256,6 +258,10 @@
         return decodeAndHandle<SuspicionNotice>(frame, [&](const SuspicionNotice &notice) {
             guard->handleNotice(notice);
         });
+    case CrashNotices::messageId:
+        return decodeAndHandle<CrashNotices>(frame, [&](const CrashNotices &message) {
+            callGuard->handleNotices(message);
+        });
     case StageUsage::messageId:
         return decodeAndHandle<StageUsage>(frame, [&](const StageUsage &usage) {
             usageRecorder->recordStageUsage(usage, acceleratorOf(usage.target));
@@ -304,7 +310,7 @@
             link->send(notice);
         }
         const bool mayUnderstand = settings.wireVersion >= crashNoticesWireVersion;
-        for (const CrashNotices &notices : mayUnderstand ? calls->crashNotices() : std::vector<CrashNotices>()) {
+        for (const CrashNotices &notices : mayUnderstand ? callGuard->notices() : std::vector<CrashNotices>()) {
             link->send(notices);
         }
     }
@@ -358,6 +364,7 @@
     calls->tick();
     keys->flush();
     guard->prune();
+    callGuard->prune();
     usageRecorder->tick();
     completions->tick();
 }
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -66,6 +66,7 @@
     Targets &targets;
     KeyedCalls &keys;
     UsageRecorder &usageRecorder;
+    CallGuard &guard;
     std::unordered_map<RequestId, OpenCall> calls;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
     std::uint64_t &answered;
@@ -73,8 +74,6 @@
     std::uint64_t &unknown;
     TimeHistogram &durations;
     std::uint64_t &quarantined;
-    CrashingRequests crashingCalls{};
-    std::function<void(const CrashNotices &)> crashNoticesHandler{};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     OpenCall *find(const RequestId &request);
@@ -87,9 +86,6 @@
 
     void refuse(const RequestId &request, Problem problem);
     void handleFailure(const RequestId &request, Outcome outcome, const Error &error);
-    void recordCrash(const OpenCall &call, std::uint64_t crash);
-    void announceCrashes(std::uint64_t fingerprint) const;
-    void handleCrashNotices(const CrashNotices &message);
     void finishResponse(const RequestId &request);
     void handleDisconnect(const RequestId &request);
     void cancelAtTarget(const OpenCall &call);
@@ -261,8 +257,7 @@
         erase(request);
         return exchange->abort();
     }
-    const bool isRefused = isQuarantined(crashingCalls, call->fingerprint);
-    const bool isSafe = outcome == Outcome::NotRun || (call->mayRetry && !isRefused);
+    const bool isSafe = outcome == Outcome::NotRun || (call->mayRetry && !guard.isRefused(call->fingerprint));
     if (isSafe && call->tried < maxTargetsPerCall && tryConsumeRetry(context.retryBudget) && chooseTarget(*call)) {
         return send(request);
     }
@@ -272,38 +267,6 @@
     refuse(request, {502, "", error.toString(), Outcome::Unknown});
 }
 
-void ServiceCalls::Private::announceCrashes(std::uint64_t fingerprint) const
-{
-    crashNoticesHandler({noticesOf(crashingCalls, fingerprint, context.clock.now())});
-}
-
-void ServiceCalls::Private::recordCrash(const OpenCall &call, std::uint64_t crash)
-{
-    const TimePoint now = context.clock.now();
-    const bool wasRefused = isQuarantined(crashingCalls, call.fingerprint);
-    if (!Parsleytrail::recordCrash(crashingCalls, call.fingerprint, crash, now, now)) {
-        return;
-    }
-    const bool isRefused = isQuarantined(crashingCalls, call.fingerprint);
-    if (isRefused && !wasRefused) {
-        logEvent(Event::RequestQuarantined, {{"input", fingerprintText(call.fingerprint)}, {"service", call.service.value}, {"source", "own"}});
-    }
-    announceCrashes(call.fingerprint);
-}
-
-/// Applies what another entry tells. What is news here is passed on, as not all entries are linked to each other.
-void ServiceCalls::Private::handleCrashNotices(const CrashNotices &message)
-{
-    const TimePoint now = context.clock.now();
-    bool isNews = false;
-    for (const CrashNotice &notice : message.notices) {
-        isNews = applyNotice(crashingCalls, notice, now) || isNews;
-    }
-    if (isNews) {
-        crashNoticesHandler(message);
-    }
-}
-
 void ServiceCalls::Private::finishResponse(const RequestId &request)
 {
     OpenCall &call = *find(request);
@@ -311,10 +274,7 @@
     usageRecorder.countAnswered(call.owner, 0, 0);
     durations.record(std::chrono::duration<double>(context.clock.now() - call.openedAt).count());
     targets.recordSuccess(call.target);
-    const TimePoint now = context.clock.now();
-    if (recordCompletion(crashingCalls, call.fingerprint, now, now)) {
-        announceCrashes(call.fingerprint);
-    }
+    guard.recordCompletion(call.fingerprint);
     releaseTarget(call);
     finishKey(call, call.isTooLongToStore ? KeyOutcome::Unknown : KeyOutcome::Answered);
     if (context.history.isEnabled()) {
@@ -451,11 +411,12 @@
 
 // [SECTION] ServiceCalls
 
-ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder)
+ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, CallGuard &guard)
     : d(new Private{context,
                     targets,
                     keys,
                     usageRecorder,
+                    guard,
                     {},
                     {},
                     context.metrics.counter("parsley_calls_answered", "Calls to plain services answered in full."),
@@ -504,7 +465,7 @@
     call.isNonIdempotent = !key.empty() || isNonIdempotent(section->second, request.method, path);
     call.mayRetry = !call.isNonIdempotent && isIdempotentMethod(request.method);
     call.fingerprint = callFingerprint(call, request);
-    if (isQuarantined(d->crashingCalls, call.fingerprint)) {
+    if (d->guard.isRefused(call.fingerprint)) {
         ++d->quarantined;
         return refuse({422, "", "this call was open at three separate crashes of applications and is refused for an hour", Outcome::NotRun});
     }
@@ -530,14 +491,10 @@
         return decodeAndHandle<CallFailed>(frame, [&](const CallFailed &message) {
             const OpenCall *call = d->find(message.request);
             if (call && message.crash != 0) {
-                d->recordCrash(*call, message.crash);
+                d->guard.recordCrash(call->fingerprint, message.crash, call->service);
             }
             d->handleFailure(message.request, message.outcome, {message.step, "", message.text});
         });
-    case CrashNotices::messageId:
-        return decodeAndHandle<CrashNotices>(frame, [&](const CrashNotices &message) {
-            d->handleCrashNotices(message);
-        });
     default:
         return false;
     }
@@ -557,24 +514,9 @@
     }
 }
 
-void ServiceCalls::onCrashNotices(std::function<void(const CrashNotices &)> handler)
-{
-    d->crashNoticesHandler = std::move(handler);
-}
-
-std::vector<CrashNotices> ServiceCalls::crashNotices() const
-{
-    std::vector<CrashNotices> list;
-    for (const auto &[fingerprint, record] : d->crashingCalls.records) {
-        list.push_back({noticesOf(d->crashingCalls, fingerprint, d->context.clock.now())});
-    }
-    return list;
-}
-
 void ServiceCalls::tick()
 {
     const TimePoint now = d->context.clock.now();
-    prune(d->crashingCalls, now);
     std::vector<RequestId> late;
     for (const auto &[request, call] : d->calls) {
         if (now - call.openedAt >= call.deadline + deadlineMargin) {
--- a/src/entry/service_calls.h
+++ b/src/entry/service_calls.h
@@ -3,12 +3,12 @@
 //
 // A call is sent to a second target only while no part of a response has been received, and only if the first target certainly
 // did not run it, or if its method is idempotent and the configuration does not mark it as non-idempotent. A call that crashes
-// applications is refused at all entries; see policy/crashing_requests.h.
+// applications is refused at all entries; see entry/call_guard.h.
 #pragma once
 
+#include "entry/call_guard.h"
 #include "entry/completions.h"
 #include "entry/keyed_calls.h"
-#include "policy/crashing_requests.h"
 
 namespace Parsleytrail
 {
@@ -17,7 +17,7 @@
 class ServiceCalls
 {
 public:
-    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder);
+    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, CallGuard &guard);
     ~ServiceCalls();
 
     /// `service` is the name in the path; `path` is what follows it, with a leading slash.
@@ -27,10 +27,6 @@
     bool handleFrame(const Frame &frame);
     /// The link to an address was lost: its calls fail with outcome Unknown, or are retried elsewhere.
     void handleLinkLost(const std::string &address, const Error &error);
-    /// Called with what other entries must learn of calls that crash applications.
-    void onCrashNotices(std::function<void(const CrashNotices &)> handler);
-    /// What this entry knows of such calls, for an entry that has just started.
-    std::vector<CrashNotices> crashNotices() const;
     /// Ends calls whose deadline has passed. Called every 50 ms.
     void tick();
 
