--- a/src/entry/call_guard.cpp
+++ b/src/entry/call_guard.cpp
@@ -3,6 +3,8 @@
 #include "base/log.h"
 #include "base/text.h"
 
+#include <nlohmann/json.hpp>
+
 namespace Parsleytrail
 {
 
@@ -76,6 +78,16 @@
     return list;
 }
 
+nlohmann::json CallGuard::describe() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[fingerprint, record] : d->calls.records) {
+        list.push_back(
+            {{"fingerprint", fingerprintText(fingerprint)}, {"standing", isRefused(fingerprint) ? "refused" : "suspect"}, {"crashes", record.crashes.size()}});
+    }
+    return list;
+}
+
 void CallGuard::prune()
 {
     Parsleytrail::prune(d->calls, d->context.clock.now());
--- a/src/entry/call_guard.h
+++ b/src/entry/call_guard.h
@@ -4,6 +4,8 @@
 #include "entry/context.h"
 #include "policy/crashing_requests.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <memory>
 #include <vector>
@@ -31,6 +33,8 @@
     void handleNotices(const CrashNotices &message);
     /// All that is known, for an entry that has just started.
     std::vector<CrashNotices> notices() const;
+    /// JSON list of calls that were open at crashes, for the status.
+    nlohmann::json describe() const;
     /// Drops what has expired.
     void prune();
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -442,6 +442,7 @@
     result["isReady"] = isReady();
     result["admission"] = json::parse(completions->describeAdmission());
     result["suspectInputs"] = guard->describe();
+    result["suspectCalls"] = callGuard->describe();
     result["streams"] = streams->size();
     result["calls"] = calls->openCount();
     result["store"] = {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}, {"unwrittenCallEnds", keys->unwritten()}};
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -581,11 +581,22 @@
     state["tablesFrom"] = d->peers->others().source.host;
     state["callerConnections"] = d->sessions->count();
     for (const auto &[id, target] : context.fleet.targets) {
-        state["targets"][id.value] = {{"service", target.registered.service.value}, {"address", target.registered.address.toString()},
-                                      {"dataCenter", target.registered.dataCenter}, {"layers", {target.registered.layers.from, target.registered.layers.to}},
-                                      {"isDraining", target.registered.isDraining}, {"isUsable", isUsable(target, now)},
-                                      {"failuresInRow", target.failuresInRow},      {"openRequests", target.openRequests},
-                                      {"kvTokenLayers", target.kvTokenLayers}};
+        state["targets"][id.value] = {{"service", target.registered.service.value},
+                                      {"address", target.registered.address.toString()},
+                                      {"dataCenter", target.registered.dataCenter},
+                                      {"layers", {target.registered.layers.from, target.registered.layers.to}},
+                                      {"isDraining", target.registered.isDraining},
+                                      {"isUsable", isUsable(target, now)},
+                                      {"failuresInRow", target.failuresInRow},
+                                      {"openRequests", target.openRequests},
+                                      {"kvTokenLayers", target.kvTokenLayers},
+                                      {"requestLimit", limitInForce(target.demand, now)},
+                                      {"wantedPerSecond", wantedRate(target.demand, now)},
+                                      {"peersWantedPerSecond", target.demand.peersWanted}};
+    }
+    for (const auto &[request, record] : context.crashingRequests.records) {
+        state["crashingRequests"][fingerprintText(request)] = {{"crashes", record.crashes.size()},
+                                                               {"isRefused", isQuarantined(context.crashingRequests, request)}};
     }
     return state.dump(2);
 }
