--- a/src/relay/crash_store.cpp
+++ b/src/relay/crash_store.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds crashWatchMargin{1000};  ///< time after the wait of a watch until the watch counts as lost
 constexpr milliseconds watchCheckInterval{500}; ///< how often an entry that does not watch checks whether it has to
 constexpr milliseconds crashRetryPause{500};    ///< after a failed call; doubles with each consecutive failure
-constexpr int maxRetryDoublings = 4;
+constexpr int maxRetryDoublings = 2;
 constexpr int failuresUntilLogged = 2; ///< a single one may be a connection that was closed normally
 
 /// A notice to be written, with the time of what it tells on the own clock.
