Crashes of an application in a row count each; what a relay records of a crash is what held when its connection broke

Found by reading the diff: a sidecar gave two crashes one number if no call was completed in between, so that an entry would not have counted the second; a stream that had begun its next attempt within the millisecond of the check counted as suspect by that attempt's events.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -68,7 +68,7 @@
     TimePoint m_firstByteAt{};
     bool m_isRelaying = false; ///< the response is too large to buffer and is relayed as it arrives
     bool m_isCounted = false;  ///< the request is included in the target's openRequests
-    bool m_isSuspect = false;  ///< it is also included in openSuspects
+    bool m_isSuspect = false;  ///< it was open at a crash of another target, and is included in openSuspects too
 };
 
 void CallForwarding::begin()
@@ -101,7 +101,6 @@
 Target *CallForwarding::chooseTarget(const std::vector<TargetId> &limited)
 {
     const TimePoint now = m_context.clock.now();
-    m_isSuspect = isSuspectInput(m_context, m_request);
     Target *best = nullptr;
     double bestCost = 0;
     std::uniform_real_distribution<double> jitter(0, 0.05);
@@ -129,6 +128,7 @@
 
 void CallForwarding::startAttempt()
 {
+    m_isSuspect = isSuspectInput(m_context, m_request);
     bool isOverLimits = false;
     Target *target = chooseAdmittedTarget(isOverLimits);
     if (!target) {
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -75,9 +75,15 @@
 /// Handles a failure once it is known whether the target crashed: a request that crashes its targets must not go to the next one.
 void TargetForwarding::handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure)
 {
-    const TimePoint failedAt = m_context.clock.now();
-    m_hooks.checkForCrash(sent.target, [self = shared_from_this(), this, sent, failure, failedAt](TargetCondition condition) {
-        recordCondition(sent, condition, failedAt);
+    const auto openTime = std::chrono::duration_cast<milliseconds>(m_context.clock.now() - sent.sentAt);
+    const bool isSuspect = isPossibleCauseOfCrash();
+    m_hooks.checkForCrash(sent.target, [self = shared_from_this(), this, sent, failure, openTime, isSuspect](TargetCondition condition) {
+        if (condition != TargetCondition::Running) {
+            recordCrash(sent, condition, openTime);
+        }
+        if (condition == TargetCondition::Crashed && isSuspect) {
+            m_hooks.recordCrashedRun(m_request, sent.target, sent.startedAtMs);
+        }
         const bool isCurrent = !m_isOver && m_exchange && m_sent == sent.number;
         if (isCurrent) {
             handleFailure(failure);
@@ -85,22 +91,15 @@
     });
 }
 
-void TargetForwarding::recordCondition(const SentRequest &sent, TargetCondition condition, TimePoint failedAt)
+void TargetForwarding::recordCrash(const SentRequest &sent, TargetCondition condition, milliseconds openTime)
 {
-    if (condition == TargetCondition::Running) {
-        return;
-    }
     ++m_context.metrics.crashedRuns;
-    const auto open = std::chrono::duration_cast<milliseconds>(failedAt - sent.sentAt);
     logEvent(Event::TargetCrashed, {{"target", sent.target.value},
                                     {"condition", toString(condition)},
                                     {"id", m_request.attemptId},
                                     {"input", inputText(m_request)},
                                     {"workspace", m_request.workspace.value},
-                                    {"open_ms", std::to_string(open.count())}});
-    if (condition == TargetCondition::Crashed && isPossibleCauseOfCrash()) {
-        m_hooks.recordCrashedRun(m_request, sent.target, sent.startedAtMs);
-    }
+                                    {"open_ms", std::to_string(openTime.count())}});
 }
 
 void TargetForwarding::cancelExchange()
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -39,7 +39,7 @@
     /// Releases the resources of the current attempt.
     virtual void endAttempt() = 0;
 
-    /// Whether a crash of the target may be due to this request, which was sent there last.
+    /// Whether a crash of the target may be due to the present attempt.
     virtual bool isPossibleCauseOfCrash() const = 0;
 
     RelayContext &m_context;
@@ -60,7 +60,7 @@
     };
     void recordNamedLimit(const TargetId &id, const HttpHead &head);
     void handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure);
-    void recordCondition(const SentRequest &sent, TargetCondition condition, TimePoint failedAt);
+    void recordCrash(const SentRequest &sent, TargetCondition condition, milliseconds openTime);
 
     int m_sent = 0; ///< requests sent so far
 };
--- a/src/sidecar/calls.cpp
+++ b/src/sidecar/calls.cpp
@@ -49,12 +49,12 @@
     std::uint64_t &notRun;
     TimeEstimate callTime;
     std::uint64_t crashes = 0; ///< crashes of the application so far
-    bool isCrashed = false;    ///< no call was completed since the last one
+    TimePoint crashFoundAt{};  ///< when the last one was found
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
     void fail(const RequestId &request, Outcome outcome, const std::string &step, const std::string &text, std::uint64_t crash = 0);
     void failAfterCrashCheck(const RequestId &request, Outcome outcome, const std::string &text);
-    std::uint64_t currentCrash();
+    std::uint64_t crashDuring(TimePoint startedAt);
     void begin(const LinkPtr &link, const CallRequest &head);
     void handleBody(const CallBody &part);
     void handOver(SidecarCall &call);
@@ -143,17 +143,19 @@
         const std::string text = failure->error.toString();
         return mayBeCrash ? failAfterCrashCheck(request, outcome, text) : fail(request, outcome, "call application", text);
     }
-    isCrashed = false;
     recordTime(callTime, std::chrono::duration<double>(context.clock.now() - call->startedAt).count());
     call->isResponseComplete = true;
     finishIfSent(request);
 }
 
-/// Identifier of the present crash, the same for all calls that were open.
-std::uint64_t Calls::Private::currentCrash()
+/// Identifier of the crash that ended a call which began at `startedAt`, the same for all calls that were open: a call that began after the
+/// last crash was found has been ended by another one.
+std::uint64_t Calls::Private::crashDuring(TimePoint startedAt)
 {
-    crashes += isCrashed ? 0 : 1;
-    isCrashed = true;
+    if (crashes == 0 || startedAt > crashFoundAt) {
+        ++crashes;
+        crashFoundAt = context.clock.now();
+    }
     return crashOf({context.settings.id}, context.incarnation.value + crashes);
 }
 
@@ -168,8 +170,9 @@
         if (weak.expired()) {
             return;
         }
+        const SidecarCall *call = find(request);
         const bool isRefused = result.failure && !result.failure->hasWritten && !result.failure->isTimeout;
-        fail(request, outcome, "call application", text, isRefused ? currentCrash() : 0);
+        fail(request, outcome, "call application", text, call && isRefused ? crashDuring(call->startedAt) : 0);
     });
 }
 
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -402,7 +402,7 @@
                 BOOST_TEST_REQUIRE(application->restart());
             }
         }
-        cluster.wait("applications to serve again", [&] {
+        cluster.wait("targets to be usable again", [&] {
             return cluster.send(call("GET", "/services/booking/echo"), entry).status == 200;
         });
     };
