Relays hash each target once for its load and its demand

Whether the hashing or the machine's load made the first placement late was not separated: open. Tests of limits ask hasRecentLimit() where describeDemand() returned whether there was something to describe: the same checks.

--- a/src/policy/request_limits.cpp
+++ b/src/policy/request_limits.cpp
@@ -32,14 +32,14 @@
     return namedAt > demand.namedAt && setLimit(demand, perSecond, namedAt, false, draw);
 }
 
-static bool isRecent(const RequestDemand &demand, TimePoint now)
+bool hasRecentLimit(const RequestDemand &demand, TimePoint now)
 {
     return demand.namedAt != TimePoint() && now - demand.namedAt < limitLifetime;
 }
 
 double limitInForce(const RequestDemand &demand, TimePoint now)
 {
-    return isRecent(demand, now) ? demand.limit : 0;
+    return hasRecentLimit(demand, now) ? demand.limit : 0;
 }
 
 double wantedRate(const RequestDemand &demand, TimePoint now)
@@ -99,15 +99,11 @@
             static_cast<std::uint16_t>(std::min(sum.entries, static_cast<int>(UINT16_MAX)))};
 }
 
-bool describeDemand(const RequestDemand &demand, std::uint32_t target, TimePoint now, TargetDemand &described)
+TargetDemand describeDemand(const RequestDemand &demand, std::uint32_t target, TimePoint now)
 {
-    if (!isRecent(demand, now)) {
-        return false;
-    }
     // Only what was named to this entry: the others would hear their own words again.
     const TimePoint namedAt = demand.isNamedHere ? demand.namedAt : TimePoint();
-    described = toMessage(target, {demand.limit, namedAt, wantedRate(demand, now), 1}, now);
-    return true;
+    return toMessage(target, {demand.limit, namedAt, wantedRate(demand, now), 1}, now);
 }
 
 std::vector<TargetDemand> listDemands(const DemandTable &table, TimePoint now)
--- a/src/policy/request_limits.h
+++ b/src/policy/request_limits.h
@@ -45,6 +45,8 @@
 bool recordNamedLimit(RequestDemand &demand, double perSecond, TimePoint now, double draw);
 /// The same as learned from other entries at `now`, read from a response at `namedAt`. Ignored if an observation here is newer.
 bool recordLearnedLimit(RequestDemand &demand, double perSecond, TimePoint namedAt, double draw);
+/// Whether the target has named a limit, or that there is none any more, within limitLifetime: entries tell each other of it.
+bool hasRecentLimit(const RequestDemand &demand, TimePoint now);
 /// The limit in force; zero if there is none.
 double limitInForce(const RequestDemand &demand, TimePoint now);
 /// Requests a second that this entry wants to send.
@@ -64,8 +66,8 @@
 
 /// Adds a message's list, which was received at `receivedAt`.
 void addDemands(DemandTable &table, const std::vector<TargetDemand> &demands, TimePoint receivedAt);
-/// What an entry reports of a target, or nothing (false) if no limit was in force for limitLifetime.
-bool describeDemand(const RequestDemand &demand, std::uint32_t target, TimePoint now, TargetDemand &described);
+/// What an entry reports of a target while hasRecentLimit().
+TargetDemand describeDemand(const RequestDemand &demand, std::uint32_t target, TimePoint now);
 /// The table as a message's list, at most maxReportedDemands, those that are wanted most.
 std::vector<TargetDemand> listDemands(const DemandTable &table, TimePoint now);
 
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -24,7 +24,7 @@
     bool handleDatagram(const Frame &frame);
     void send(const ExchangeMessages &messages);
     void updatePeerState();
-    void applyPeerDemand(Target &target, const DemandTable &demands);
+    void applyPeerDemand(Target &target, std::uint32_t key, const DemandTable &demands);
     void logChanges(const PeersView &before) const;
 };
 
@@ -88,9 +88,8 @@
         if (target.registered.dataCenter == context.settings.dataCenter) {
             state.localTargets.push_back(loadKey(target.registered));
         }
-        TargetDemand demand;
-        if (describeDemand(target.demand, loadKey(target.registered), now, demand)) {
-            state.demands.push_back(demand);
+        if (hasRecentLimit(target.demand, now)) {
+            state.demands.push_back(describeDemand(target.demand, loadKey(target.registered), now));
         }
         const bool isAvoidedHere = isAvoided(target, now);
         if (target.openRequests > 0 || isAvoidedHere) {
@@ -147,9 +146,9 @@
 }
 
 /// Applies what the other relays want to send to a target, and the limit that it has named to one of them.
-void RelayPeers::Private::applyPeerDemand(Target &target, const DemandTable &demands)
+void RelayPeers::Private::applyPeerDemand(Target &target, std::uint32_t key, const DemandTable &demands)
 {
-    const auto found = demands.find(loadKey(target.registered));
+    const auto found = demands.find(key);
     const DemandSum sum = found != demands.end() ? found->second : DemandSum();
     target.demand.peersWanted = sum.wanted;
     target.demand.peersReporting = sum.entries;
@@ -175,7 +174,7 @@
         target.peersOpenRequests = hasLoad ? load->openRequests : 0;
         target.peersAvoiding = hasLoad ? load->avoiding : 0;
         target.peersKvTokenLayers = hasLoad ? load->kvTokenLayers : 0;
-        applyPeerDemand(target, others.demands);
+        applyPeerDemand(target, key, others.demands);
     }
     recordReachableEntries(context, static_cast<int>(others.entries.entries));
     logChanges(before);
--- a/tests/request_limits_test.cpp
+++ b/tests/request_limits_test.cpp
@@ -83,10 +83,9 @@
         if (sum.namedAt != TimePoint()) {
             recordLearnedLimit(demand, sum.limit, sum.namedAt, std::uniform_real_distribution<double>(0, 1)(m_random));
         }
-        TargetDemand described;
         entry.state.demands.clear();
-        if (describeDemand(demand, target, now, described)) {
-            entry.state.demands.push_back(described);
+        if (hasRecentLimit(demand, now)) {
+            entry.state.demands.push_back(describeDemand(demand, target, now));
         }
     }
     void sendOne(std::size_t index, TimePoint now)
@@ -170,8 +169,8 @@
     BOOST_TEST(!recordLearnedLimit(demand, 9, now - milliseconds(300), 0));
     BOOST_TEST(recordNamedLimit(demand, 0, now + milliseconds(500), 0));
     BOOST_TEST(limitInForce(demand, now + milliseconds(500)) == 0);
-    TargetDemand described;
-    BOOST_TEST(describeDemand(demand, target, now + milliseconds(600), described));
+    BOOST_TEST(hasRecentLimit(demand, now + milliseconds(600)));
+    const TargetDemand described = describeDemand(demand, target, now + milliseconds(600));
     BOOST_TEST(described.limit == 0U);
     BOOST_TEST(described.limitAgeMs == 100U);
 }
@@ -182,10 +181,9 @@
     RequestDemand demand;
     const TimePoint now{std::chrono::hours(1)};
     recordNamedLimit(demand, 2, now, 0);
-    TargetDemand described;
     BOOST_TEST(limitInForce(demand, now + limitLifetime - milliseconds(1)) == 2);
     BOOST_TEST(limitInForce(demand, now + limitLifetime) == 0);
-    BOOST_TEST(!describeDemand(demand, target, now + limitLifetime, described));
+    BOOST_TEST(!hasRecentLimit(demand, now + limitLifetime));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
