Log how a response's end was determined and what was left of it

Event 200 could not tell a complete response from one that its target had cut: it named neither the framing nor bytes that were received and not passed on. It gives both now, and a counter tells how many responses end with their connection. No decision changes.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -227,7 +227,8 @@
     }
     m_request.exchange->complete();
     m_hooks.recordCompletedRun(m_request);
-    recordServed(m_context, m_request, {exchange->head().status, m_target.value, m_attempts, m_firstByteAt, {}});
+    recordServed(m_context, m_request,
+                 {exchange->head().status, m_target.value, m_attempts, m_firstByteAt, {}, exchange->framing(), exchange->unconsumedBytes()});
     end();
 }
 
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -23,6 +23,7 @@
     Metrics all;
     std::uint64_t &requests = all.counter("parsley_relay_requests", "Requests read from callers.");
     std::uint64_t &served = all.counter("parsley_relay_served", "Requests answered with a target's whole answer.");
+    std::uint64_t &servedUntilClose = all.counter("parsley_relay_served_until_close", "Of these, answers that ended with their connection.");
     std::uint64_t &refused = all.counter("parsley_relay_refused", "Requests refused without having run.");
     std::uint64_t &failed = all.counter("parsley_relay_failed", "Requests without a whole answer that may have run.");
     std::uint64_t &callersDisconnected = all.counter("parsley_relay_callers_gone", "Requests whose caller left first.");
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -150,6 +150,7 @@
 void recordServed(RelayContext &context, const ForwardedRequest &request, const ServedResponse &response)
 {
     ++context.metrics.served;
+    context.metrics.servedUntilClose += response.framing == BodyFraming::UntilClose ? 1 : 0;
     const TimePoint receivedAt = request.exchange->receivedAt();
     context.metrics.firstByte.record(std::chrono::duration<double>(response.firstByteAt - receivedAt).count());
     logEvent(Event::RequestServed, {{"id", request.attemptId},
@@ -160,6 +161,8 @@
                                     {"attempts", std::to_string(response.attempts)},
                                     {"first_ms", millisecondsText(receivedAt, response.firstByteAt)},
                                     {"gap_ms", std::to_string(response.longestGap.count())},
+                                    {"framing", toString(response.framing)},
+                                    {"left_bytes", std::to_string(response.leftBytes)},
                                     {"total_ms", millisecondsText(receivedAt, context.clock.now())},
                                     {"configuration", versionText(request)}});
 }
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -28,6 +28,8 @@
     int attempts = 0;           ///< number of attempts that a target may have started
     TimePoint firstByteAt{};    ///< first byte of the response
     milliseconds longestGap{0}; ///< longest time between two events of a stream
+    BodyFraming framing{};      ///< how the end of the target's response was determined
+    std::size_t leftBytes = 0;  ///< bytes at its end that were not relayed
 };
 
 /// Serializes the request for a target. Connection-specific fields, the caller's API key and fields that the relay sets
--- a/src/relay/http_message.cpp
+++ b/src/relay/http_message.cpp
@@ -170,6 +170,21 @@
 
 // [SECTION] Bodies
 
+const char *toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::UntilClose:
+        return "until-close";
+    }
+    return "?";
+}
+
 /// Derives the framing from Content-Length and Transfer-Encoding; sets `hasNoFraming` if neither is present.
 static BodyPlan planBody(const HttpHead &head, bool &hasNoFraming)
 {
--- a/src/relay/http_message.h
+++ b/src/relay/http_message.h
@@ -70,6 +70,7 @@
     Chunked,   ///< Transfer-Encoding: chunked
     UntilClose ///< a response that ends when its connection is closed
 };
+const char *toString(BodyFraming framing);
 
 /// State of reading one body.
 struct BodyReader {
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -378,7 +378,8 @@
     }
     m_request.exchange->complete();
     m_hooks.recordCompletedRun(m_request);
-    recordServed(m_context, m_request, {head.status, firstTarget(), m_attempts, m_firstByteAt, m_longestGap});
+    const TargetExchange &exchange = *m_exchange;
+    recordServed(m_context, m_request, {head.status, firstTarget(), m_attempts, m_firstByteAt, m_longestGap, exchange.framing(), exchange.unconsumedBytes()});
     end();
 }
 
@@ -407,7 +408,7 @@
         m_request.exchange->begin(head, &length);
         m_request.exchange->send(m_bufferedBody);
         m_request.exchange->complete();
-        recordServed(m_context, m_request, {head.status, firstTarget(), m_attempts, m_context.clock.now(), {}});
+        recordServed(m_context, m_request, {head.status, firstTarget(), m_attempts, m_context.clock.now(), {}, m_exchange->framing()});
         return end();
     }
     retryOrEnd(isAuthenticFailure ? "engine failed" : "answer is not the engine's own", true);
--- a/src/relay/target_exchange.cpp
+++ b/src/relay/target_exchange.cpp
@@ -346,4 +346,14 @@
     return d->head;
 }
 
+BodyFraming TargetExchange::framing() const
+{
+    return d->bodyReader.framing;
+}
+
+std::size_t TargetExchange::unconsumedBytes() const
+{
+    return d->body.size();
+}
+
 } // namespace Parsleytrail
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -68,6 +68,10 @@
     void cancel();
     void pauseReading(bool isPaused);
     const HttpHead &head() const;
+    /// How the end of the response's body is determined. Valid once onHead was called.
+    BodyFraming framing() const;
+    /// Number of received body bytes that the handler has not consumed.
+    std::size_t unconsumedBytes() const;
 
 private:
     struct Private;
