Failing tests: streams that end in the middle of an event are told as complete

Reproduced: engines that send neither a length nor chunks and close within an event; that end a chunked body within one; a resumed run that ends with its connection before its first event; the same at plain services and at a sidecar's application. Stand-ins: engines frame streams with or without chunks and cut them in three ways; the application has an event stream that may be cut.

--- a/stand-ins/application.cpp
+++ b/stand-ins/application.cpp
@@ -105,6 +105,13 @@
         }
         return exchange->endStream();
     }
+    if (path == "/events") {
+        const bool isCut = queryParameter(request.query, "cut").has_value();
+        exchange->beginStream(200, {{"Content-Type", "text/event-stream"}});
+        exchange->pushChunk("id: 1\ndata: a\n\nid: 2\nda");
+        exchange->pushChunk(isCut ? "ta: " : "ta: b\n\n");
+        return exchange->endStream();
+    }
     if (path == "/echo") {
         json headers = json::object();
         for (const HttpHeader &header : request.headers) {
--- a/stand-ins/application.h
+++ b/stand-ins/application.h
@@ -5,6 +5,7 @@
 //   GET  /bookings                {"bookings":[{"booking","wheel","reference"}]}
 //   DELETE /bookings/N            200, or 404
 //   ANY  /echo                    returns method, path, query, headers and body of the request as JSON
+//   GET  /events[?cut]           two events; with `cut` the response ends in the middle of the second one
 //   GET  /bytes?count=N&chunk=M   N bytes, streamed in chunks of M bytes
 //   POST /faults {"crash"?: "none"|"before"|"after", "slow-ms"?}
 //                                 see setCrash and setResponseDelay; an absent field clears its fault
--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -54,6 +54,7 @@
     bool refusesNewStreams = false;
     bool ignoresNewStreams = false;
     bool ignoresMoves = false;
+    bool endsStreamsWithoutEvents = false;
     double namedLimit = 0; ///< requests a second; zero: none
     std::vector<TimePoint> streamStarts;
     bool isAlive() const
@@ -73,6 +74,7 @@
     ChainEnginesOptions options;
     std::map<std::string, std::unique_ptr<ChainEngine>> engines;
     std::set<std::shared_ptr<EngineStream>> streams;
+    std::set<ConnectionPtr> closing; ///< closed by an engine, with bytes that may still have to be sent
     bool dropsOrderResponses = false;
     int startedStreams = 0;
     int movedStreams = 0;
@@ -90,6 +92,9 @@
     void answer(const ConnectionPtr &connection, int status, const std::string &body, const std::string &fields = {});
     void beginStream(ChainEngine &engine, const ConnectionPtr &connection, const HttpHead &head);
     void sendEvent(const std::shared_ptr<EngineStream> &stream);
+    void sendPart(const EngineStream &stream, std::string_view bytes);
+    void endStream(const std::shared_ptr<EngineStream> &stream);
+    void closeConnection(const ConnectionPtr &connection);
     void order(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
     void place(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
     void move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
@@ -179,8 +184,12 @@
     ++startedStreams;
     engine.streamStarts.push_back(std::chrono::steady_clock::now());
     const std::string limit = engine.namedLimit > 0 ? absl::StrCat("\r\nServer-Limit: ", engine.namedLimit) : std::string();
+    const std::string framing = options.framing == StreamFraming::Chunked ? "\r\nTransfer-Encoding: chunked" : "\r\nConnection: close";
     connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id + limit
-                      + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                      + "\r\nContent-Type: text/event-stream" + framing + "\r\n\r\n");
+    if (engine.endsStreamsWithoutEvents) {
+        return endStream(stream);
+    }
     stream->eventTimer = std::make_unique<Timer>(loop, [this, weak = std::weak_ptr(stream)] {
         if (const auto self = weak.lock()) {
             sendEvent(self);
@@ -203,13 +212,43 @@
         return;
     }
     stream->stalledAt = TimePoint();
-    std::string bytes;
-    appendChunk(bytes, absl::StrCat("id: ", stream->next, "\ndata: token-", stream->next, "\n\n"));
+    sendPart(*stream, absl::StrCat("id: ", stream->next, "\ndata: token-", stream->next, "\n\n"));
     const bool isLast = stream->next++ == options.events;
-    stream->connection->write(isLast ? bytes + "0\r\n\r\n" : bytes);
     if (isLast) {
-        streams.erase(stream);
+        endStream(stream);
+    }
+}
+
+/// Sends a part of a stream's body in the framing of the test.
+void ChainEngines::Private::sendPart(const EngineStream &stream, std::string_view bytes)
+{
+    if (options.framing == StreamFraming::UntilClose) {
+        return stream.connection->write(bytes);
+    }
+    std::string chunk;
+    appendChunk(chunk, bytes);
+    stream.connection->write(chunk);
+}
+
+/// Marks the end of a stream's body in the framing of the test.
+void ChainEngines::Private::endStream(const std::shared_ptr<EngineStream> &stream)
+{
+    streams.erase(stream);
+    if (options.framing == StreamFraming::UntilClose) {
+        return closeConnection(stream->connection);
     }
+    stream->connection->write("0\r\n\r\n");
+}
+
+void ChainEngines::Private::closeConnection(const ConnectionPtr &connection)
+{
+    for (auto &[id, engine] : engines) {
+        engine->connections.erase(connection);
+    }
+    closing.insert(connection);
+    connection->closeAfterWriting([this, raw = connection.get()] {
+        closing.erase(raw->shared_from_this());
+    });
 }
 
 void ChainEngines::Private::dropStreams(const ConnectionPtr &connection)
@@ -314,6 +353,9 @@
 ChainEngines::~ChainEngines()
 {
     d->streams.clear();
+    for (const ConnectionPtr &connection : std::exchange(d->closing, {})) {
+        connection->close();
+    }
     for (auto &[id, engine] : d->engines) {
         for (const ConnectionPtr &connection : std::exchange(engine->connections, {})) {
             connection->close();
@@ -393,20 +435,32 @@
     d->engines.at(id)->ignoresMoves = true;
 }
 
-void ChainEngines::cutStreams(const std::string &id)
+void ChainEngines::cutStreams(const std::string &id, StreamCut cut)
 {
     const auto streams = d->streams;
     for (const auto &stream : streams) {
-        if (stream->engine->id == id) {
-            std::string bytes;
-            appendChunk(bytes, "id: 99");
-            stream->connection->write(bytes);
+        if (stream->engine->id != id) {
+            continue;
+        }
+        d->sendPart(*stream, "id: 99");
+        if (cut == StreamCut::End) {
+            d->endStream(stream);
+            continue;
+        }
+        d->streams.erase(stream);
+        if (cut == StreamCut::Close) {
+            d->closeConnection(stream->connection);
+        } else {
             stream->connection->reset();
-            d->streams.erase(stream);
         }
     }
 }
 
+void ChainEngines::endStreamsWithoutEvents(const std::string &id)
+{
+    d->engines.at(id)->endsStreamsWithoutEvents = true;
+}
+
 void ChainEngines::dropOrderResponses(bool drops)
 {
     d->dropsOrderResponses = drops;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -17,6 +17,19 @@
 namespace Parsleytrail::StandIn
 {
 
+/// How the end of a stream is marked.
+enum class StreamFraming : std::uint8_t {
+    Chunked,   ///< by a last chunk
+    UntilClose ///< by closing the connection: neither a length nor chunks
+};
+
+/// How a stream is cut in the middle of an event.
+enum class StreamCut : std::uint8_t {
+    Reset, ///< the connection is reset
+    Close, ///< the connection is closed in an orderly way
+    End    ///< the stream ends as a complete one does
+};
+
 /// Settings shared by all engines of a test.
 struct ChainEnginesOptions {
     int layers = 8;                 ///< layers of the model
@@ -24,6 +37,7 @@
     milliseconds eventInterval{10}; ///< time between two events of a stream
     milliseconds loadTime{30};      ///< time to load a layer range after an order
     milliseconds stallTimeout{600}; ///< a stream whose chain has an unavailable engine is closed after this time
+    StreamFraming framing = StreamFraming::Chunked;
 };
 
 /// Engines that run on the caller's event loop.
@@ -46,8 +60,10 @@
     void ignoreNewStreams(const std::string &id);
     /// The engine neither executes nor answers orders to move a stream.
     void ignoreMoves(const std::string &id);
-    /// Resets the connections of all streams whose first engine is this one, in the middle of an event.
-    void cutStreams(const std::string &id);
+    /// Cuts all streams whose first engine is this one in the middle of an event.
+    void cutStreams(const std::string &id, StreamCut cut = StreamCut::Reset);
+    /// From now on the engine ends new streams as complete ones before their first event.
+    void endStreamsWithoutEvents(const std::string &id);
     /// Orders to load a range are executed, but get no response.
     void dropOrderResponses(bool drops);
 
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -32,7 +32,8 @@
     BodyPlan plan = planResponseBody(head, false);
     std::string body;
     readBody(plan.reader, std::string_view(call.received).substr(head.text.size()), body);
-    return {body, plan.reader.isComplete};
+    const bool isEndedByClose = plan.reader.framing == BodyFraming::UntilClose && call.isClosed && !call.isReset;
+    return {body, plan.reader.isComplete || isEndedByClose};
 }
 
 int RawCall::status() const
@@ -226,6 +227,9 @@
     Json stream = route("r-chat", "/chat/", "streaming", "chat", 2);
     stream["resumable"] = true;
     stream["timeoutMs"] = 20000;
+    Json unresumable = route("r-talk", "/talk/", "streaming", "chat", 2);
+    unresumable["timeoutMs"] = 20000;
+    const Json feed = route("r-feed", "/feed/", "streaming", "shop", 2);
     Json open = route("r-open", "/open/", "idempotent", "shop", 2);
     open["public"] = true;
     // Large enough that only a single copy of the model leaves memory for 192 streams: the loss of an engine leaves a coverage gap.
@@ -242,13 +246,13 @@
                          {"layers", layers},
                          {"layerMb", 100.0},
                          {"kinds", Json::array({{{"name", "small"}, {"mb", 640.0}, {"pace", 1.0}, {"readX", 1.0}}})}};
-    const Json configuration = {
-        {"version", version},
-        {"routes", Json::array({route("r-book", "/book/", "non_idempotent", "shop", 1), route("r-read", "/read/", "idempotent", "shop", 2), stream, open})},
-        {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
-                                  {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
-        {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
-        {"tenants", Json::array({{{"name", "studio"}, {"apiKeys", keys}}})}};
+    const Json configuration = {{"version", version},
+                                {"routes", Json::array({route("r-book", "/book/", "non_idempotent", "shop", 1),
+                                                        route("r-read", "/read/", "idempotent", "shop", 2), stream, unresumable, feed, open})},
+                                {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
+                                                          {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
+                                {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
+                                {"tenants", Json::array({{{"name", "studio"}, {"apiKeys", keys}}})}};
     d->store.put("op", "config", configuration.dump());
 }
 
@@ -319,8 +323,9 @@
         raw->received += raw->connection->input();
         raw->connection->input().clear();
     };
-    handlers.onEnd = [raw = call.get()](ConnectionEnd) {
+    handlers.onEnd = [raw = call.get()](ConnectionEnd end) {
         raw->isClosed = true;
+        raw->isReset = end == ConnectionEnd::Reset;
     };
     call->connection->setHandlers(std::move(handlers));
     call->connection->write(bytes);
@@ -348,6 +353,13 @@
     return call("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n" + extraFields);
 }
 
+RawCallPtr RelaySystem::unresumableStream(const std::string &id, const std::string &httpVersion)
+{
+    std::string text = request("POST", "/talk/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n");
+    text.replace(text.find("HTTP/1.1"), 8, httpVersion);
+    return send(text);
+}
+
 EventLoop &RelaySystem::loop()
 {
     return d->loop;
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -21,6 +21,7 @@
     ConnectionPtr connection;
     std::string received; ///< all bytes received so far
     bool isClosed = false;
+    bool isReset = false; ///< closed, and not in an orderly way
 
     /// Status of the first response; 0 until its head is complete.
     int status() const;
@@ -81,6 +82,8 @@
     RawCallPtr call(const std::string &method, const std::string &path, const std::string &id, const std::string &body = {},
                     const std::string &extraFields = {});
     RawCallPtr stream(const std::string &id, const std::string &extraFields = {});
+    /// The same on the route whose streams can't be resumed.
+    RawCallPtr unresumableStream(const std::string &id, const std::string &httpVersion = "HTTP/1.1");
 
     EventLoop &loop();
     StandIn::TableStore &store();
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -71,6 +71,17 @@
     }
 }
 
+// Guards against an application's event stream that is told as complete though it ended in the middle of an event.
+BOOST_AUTO_TEST_CASE(an_event_stream_that_ends_within_an_event_is_told_as_cut, *boost::unit_test::label("known_red"))
+{
+    Cluster cluster;
+    const HttpResult whole = cluster.send(call("GET", "/services/booking/events"));
+    BOOST_TEST(!whole.failure.has_value());
+    BOOST_TEST(whole.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    const HttpResult cut = cluster.send(call("GET", "/services/booking/events?cut"));
+    BOOST_TEST(cut.failure.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(large_bodies_pass_both_ways)
 {
     Cluster cluster;
