Fix: a resumed stream that ended before its first event was told as complete

What callers saw: a stream whose end is missing, in a response that is framed as complete. Cause: a run that resumes a stream and sends nothing was taken for one that had nothing left to send. Without a length or chunks an engine that breaks off right after its head looks the same. Class of fault: the end of the transport taken for the end of the message. Why it works: a run without events counts as whole only if its framing shows the end. Otherwise the stream is resumed once more, or aborted, so that the caller resumes it itself. Cost: a stream of which the first run had sent all events but not its end is aborted if the second run ends without events and without framing.

--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -367,8 +367,10 @@
     if (!m_isStream) {
         return handleRefusal(head);
     }
-    const bool hasNoEvents = !m_hasEvents && m_lastEventId == m_resumeAfterId;
-    if (hasNoEvents) {
+    // Without a length or chunks nothing shows that a run was whole if it sent no events.
+    const bool isEndShown = m_exchange->framing() != BodyFraming::UntilClose;
+    const bool hasEarlierEvents = m_lastEventId != m_resumeAfterId;
+    if (!m_hasEvents && !(hasEarlierEvents && isEndShown)) {
         return retryOrEnd("stream without events", true);
     }
     for (const ChainStage &stage : m_chain) {
--- a/tests/relay_response_end_test.cpp
+++ b/tests/relay_response_end_test.cpp
@@ -127,7 +127,7 @@
 }
 
 // Guards against a resumed run that is taken for the end of a stream although it ended before its first event.
-BOOST_AUTO_TEST_CASE(aResumedStreamThatEndsWithItsConnectionBeforeAnyEventIsNotComplete, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(aResumedStreamThatEndsWithItsConnectionBeforeAnyEventIsNotComplete)
 {
     RelaySystem system(withFraming(StreamFraming::UntilClose));
     system.waitReady();
