Log and count pauses that targets request, and requests sent in them

No log line told that a target which refused a request had said for how long it wants no other, nor what was sent to it meanwhile. No decision changes. Bad values count as no pause and are logged, long ones count up to a minute.

--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -88,6 +88,16 @@
     target.refusedAt = now;
 }
 
+void recordRequestedPause(Target &target, milliseconds pause, TimePoint now)
+{
+    target.pausedUntil = std::max(target.pausedUntil, now + std::min<milliseconds>(pause, maxRequestedPause));
+}
+
+bool isPaused(const Target &target, TimePoint now)
+{
+    return now < target.pausedUntil;
+}
+
 void recordStreamBegun(Target &target, TimePoint now)
 {
     target.lastBegunAt = now;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -69,6 +69,7 @@
     int unansweredProbesInRow = 0;    ///< probes without a valid response, and reports that requests wait for it, since its last valid response
     int refusalsInRow = 0;            ///< requests that it refused without running them, since it last accepted one
     TimePoint refusedAt{};            ///< when it last refused a request
+    TimePoint pausedUntil{};          ///< it refused a request and wants no other from this process before this time
     int peersAvoiding = 0;            ///< other entries that send it no work at present, after failures or refusals, as last reported
     int silencesInRow = 0;            ///< streams given up because it did not begin them, since it last began one
     TimePoint noNewStreamsUntil{};    ///< after a silence: is not the first engine of a stream before this time
@@ -121,6 +122,13 @@
 constexpr milliseconds maxRefusalBackoff{1600};
 /// Backs off from a target that refused a request. The target is healthy: its layers don't count as lost.
 void recordRefusal(Target &target, TimePoint now);
+/// Upper bound of a pause that a target requests: a wrong value must not take it out of use for long.
+constexpr std::chrono::seconds maxRequestedPause{60};
+/// Records that a target which refused a request wants no other from this process for `pause`, of which maxRequestedPause counts. A
+/// pause that runs longer already stays.
+void recordRequestedPause(Target &target, milliseconds pause, TimePoint now);
+/// Whether the target has requested a pause that is not over.
+bool isPaused(const Target &target, TimePoint now);
 /// Records that a stream which began at this engine received its first event.
 void recordStreamBegun(Target &target, TimePoint now);
 /// Records that the engine accepted a stream and did not begin it, while it answers probes. It gets no new streams for a time
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -36,6 +36,8 @@
     std::uint64_t &crashedRuns = all.counter("parsley_relay_crashed_runs", "Requests that were open at a target when it crashed.");
     std::uint64_t &limitedSends = all.counter("parsley_relay_limited_sends", "Requests sent to targets that name a limit of requests a second.");
     std::uint64_t &limitSkips = all.counter("parsley_relay_limit_skips", "Requests for which another target was looked for, because of such a limit.");
+    std::uint64_t &pauseRequests = all.counter("parsley_relay_pause_requests", "Refusals of targets that want no other request for a time.");
+    std::uint64_t &sendsInPauses = all.counter("parsley_relay_sends_in_pauses", "Requests sent to targets in such a time.");
     std::uint64_t &quarantined = all.counter("parsley_relay_quarantined", "Requests refused because they crash targets.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -204,6 +204,15 @@
     return isNumber && std::isfinite(limit) ? std::max(limit, 0.0) : 0;
 }
 
+milliseconds parseRetryAfter(std::string_view text)
+{
+    constexpr double maxSeconds = 1e6; // far above any use, and can't overflow milliseconds
+    double seconds = 0;
+    const bool isNumber = parseNumber(trimmed(text), seconds);
+    const bool isPositive = isNumber && seconds > 0; // false for NaN too
+    return isPositive ? milliseconds(static_cast<std::int64_t>(std::ceil(std::min(seconds, maxSeconds) * 1000))) : milliseconds(0);
+}
+
 bool guaranteesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -64,6 +64,8 @@
 bool isAuthenticResponse(const HeaderNames &names, const HttpHead &head, const std::string &attemptId);
 /// Requests a second from the header field in which a target names its limit; zero if there is none or it is no positive number.
 double parseRequestLimit(std::string_view text);
+/// Time from the field Retry-After of a target's refusal; zero if it is missing or no positive number of seconds.
+milliseconds parseRetryAfter(std::string_view text);
 /// Whether callers treat a status as a guarantee that the request has not run and never will.
 bool guaranteesNotRun(int status);
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -587,6 +587,7 @@
                                       {"layers", {target.registered.layers.from, target.registered.layers.to}},
                                       {"isDraining", target.registered.isDraining},
                                       {"isUsable", isUsable(target, now)},
+                                      {"isPaused", isPaused(target, now)},
                                       {"failuresInRow", target.failuresInRow},
                                       {"openRequests", target.openRequests},
                                       {"kvTokenLayers", target.kvTokenLayers},
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -40,6 +40,7 @@
     TargetExchange::Handlers handlers;
     handlers.onHead = [self = shared_from_this(), this, target](const HttpHead &head) {
         recordNamedLimit(target, head);
+        recordPauseRequest(target, head);
         handleHead(head);
     };
     handlers.onBody = [self = shared_from_this(), this](std::string &body) {
@@ -49,6 +50,9 @@
         handleEnd();
     };
     const Target *registered = findTarget(m_context.fleet, target);
+    if (registered && isPaused(*registered, m_context.clock.now())) {
+        ++m_context.metrics.sendsInPauses;
+    }
     const SentRequest sent{target, registered ? registered->registered.startedAtMs : 0, m_context.clock.now(), ++m_sent};
     handlers.onFailure = [self = shared_from_this(), this, sent](const TargetFailure &failure) {
         if (failure.mayHaveRun) {
@@ -73,6 +77,24 @@
     }
 }
 
+/// Reads from a refusal for how long the target wants no other request from this process.
+void TargetForwarding::recordPauseRequest(const TargetId &id, const HttpHead &head)
+{
+    Target *target = findTarget(m_context.fleet, id);
+    const bool isRefusal = head.status == 503 || head.status == 429;
+    const std::string_view text = head.find("Retry-After");
+    if (!target || !isRefusal || text.empty()) {
+        return;
+    }
+    const milliseconds pause = parseRetryAfter(text);
+    ++m_context.metrics.pauseRequests;
+    recordRequestedPause(*target, pause, m_context.clock.now());
+    constexpr std::size_t maxLoggedText = 40;
+    logEvent(
+        Event::TargetPauseRequested,
+        {{"target", id.value}, {"id", m_request.attemptId}, {"pause_ms", std::to_string(pause.count())}, {"text", std::string(text.substr(0, maxLoggedText))}});
+}
+
 /// Handles a failure once it is known whether the target crashed: a request that crashes its targets must not go to the next one.
 void TargetForwarding::handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure)
 {
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -59,6 +59,7 @@
         int number = 0; ///< of the requests that this forwarding has sent
     };
     void recordNamedLimit(const TargetId &id, const HttpHead &head);
+    void recordPauseRequest(const TargetId &id, const HttpHead &head);
     void handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure);
     void recordCrash(const SentRequest &sent, TargetCondition condition, milliseconds openTime);
 
