--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -55,7 +55,9 @@
     bool ignoresNewStreams = false;
     bool ignoresMoves = false;
     bool endsStreamsWithoutEvents = false;
-    double namedLimit = 0; ///< requests a second; zero: none
+    double namedLimit = 0;  ///< requests a second; zero: none
+    std::string retryAfter; ///< refuses new streams with this Retry-After; empty: takes them
+    std::vector<TimePoint> pauseRequests;
     std::vector<TimePoint> streamStarts;
     bool isAlive() const
     {
@@ -173,6 +175,10 @@
     if (!unavailable.empty()) {
         return answer(connection, 503, {}, "X-Not-Executed: 1\r\nAt-Server: " + unavailable + "\r\n");
     }
+    if (!engine.retryAfter.empty()) {
+        engine.pauseRequests.push_back(std::chrono::steady_clock::now());
+        return answer(connection, 503, {}, "X-Not-Executed: 1\r\nRetry-After: " + engine.retryAfter + "\r\n");
+    }
     invalidChains += coversAllLayers(stream->chain) ? 0 : 1;
     if (engine.ignoresNewStreams) {
         ++ignoredStreams;
@@ -425,6 +431,16 @@
     d->engines.at(id)->namedLimit = perSecond;
 }
 
+void ChainEngines::requestPauses(const std::string &id, const std::string &retryAfter)
+{
+    d->engines.at(id)->retryAfter = retryAfter;
+}
+
+const std::vector<TimePoint> &ChainEngines::pauseRequests(const std::string &id) const
+{
+    return d->engines.at(id)->pauseRequests;
+}
+
 const std::vector<TimePoint> &ChainEngines::streamStarts(const std::string &id) const
 {
     return d->engines.at(id)->streamStarts;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -69,6 +69,10 @@
 
     /// The engine names a limit of requests a second in its responses; zero: none.
     void nameLimit(const std::string &id, double perSecond);
+    /// The engine refuses new streams that it is the first engine of, with this Retry-After; empty: it takes them again.
+    void requestPauses(const std::string &id, const std::string &retryAfter);
+    /// When it refused each of them.
+    const std::vector<TimePoint> &pauseRequests(const std::string &id) const;
     /// When each stream whose first engine is this one was started.
     const std::vector<TimePoint> &streamStarts(const std::string &id) const;
 
