--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -55,6 +55,7 @@
     bool ignoresNewStreams = false;
     bool ignoresMoves = false;
     bool endsStreamsWithoutEvents = false;
+    bool saysLeaving = false;
     double namedLimit = 0;  ///< requests a second; zero: none
     std::string retryAfter; ///< refuses new streams with this Retry-After; empty: takes them
     std::vector<TimePoint> pauseRequests;
@@ -189,9 +190,10 @@
     stream->next = last + 1;
     ++startedStreams;
     engine.streamStarts.push_back(std::chrono::steady_clock::now());
-    const std::string limit = engine.namedLimit > 0 ? absl::StrCat("\r\nServer-Limit: ", engine.namedLimit) : std::string();
+    std::string statements = engine.namedLimit > 0 ? absl::StrCat("\r\nServer-Limit: ", engine.namedLimit) : std::string();
+    statements += engine.saysLeaving ? "\r\nServer-Leaving: 1" : "";
     const std::string framing = options.framing == StreamFraming::Chunked ? "\r\nTransfer-Encoding: chunked" : "\r\nConnection: close";
-    connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id + limit
+    connection->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + stream->id + "\r\nX-Response-Seal: seal-" + engine.id + statements
                       + "\r\nContent-Type: text/event-stream" + framing + "\r\n\r\n");
     if (engine.endsStreamsWithoutEvents) {
         return endStream(stream);
@@ -276,7 +278,7 @@
     }
     const Json body = {
         {"busy", engine.isBusy}, {"seqNo", engine.orderCount}, {"layers", {{"from", engine.layers.from}, {"to", engine.layers.to}}}, {"stalled", stalled}};
-    answer(connection, 200, body.dump());
+    answer(connection, 200, body.dump(), engine.saysLeaving ? "Server-Leaving: 1\r\n" : "");
 }
 
 void ChainEngines::Private::place(ChainEngine &engine, const ConnectionPtr &connection, const Json &body)
@@ -431,6 +433,11 @@
     d->engines.at(id)->namedLimit = perSecond;
 }
 
+void ChainEngines::sayLeaving(const std::string &id)
+{
+    d->engines.at(id)->saysLeaving = true;
+}
+
 void ChainEngines::requestPauses(const std::string &id, const std::string &retryAfter)
 {
     d->engines.at(id)->retryAfter = retryAfter;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -71,6 +71,8 @@
     void nameLimit(const std::string &id, double perSecond);
     /// The engine refuses new streams that it is the first engine of, with this Retry-After; empty: it takes them again.
     void requestPauses(const std::string &id, const std::string &retryAfter);
+    /// The engine says in all its responses that it is leaving.
+    void sayLeaving(const std::string &id);
     /// When it refused each of them.
     const std::vector<TimePoint> &pauseRequests(const std::string &id) const;
     /// When each stream whose first engine is this one was started.
