Fix: a pause that a target requested ended with its registry entry

Cause: the pause was kept with the registry entry's state and dropped with it. Evidence: whatATargetSaidOutlivesItsRegistryEntryButNotItsRestart failed before on isPaused, passes now.

--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -15,6 +15,7 @@
     }
     if (target.registered.startedAtMs <= removed->second.startedAtMs) {
         target.hasSaidItLeaves = removed->second.hasSaidItLeaves;
+        target.pausedUntil = removed->second.pausedUntil;
     }
     fleet.removedTargets.erase(removed);
 }
@@ -53,7 +54,7 @@
         return now - entry.second.removedAt > removedTargetLifetime;
     });
     if (const Target *target = findTarget(fleet, id)) {
-        fleet.removedTargets[id] = {target->registered.startedAtMs, now, target->hasSaidItLeaves};
+        fleet.removedTargets[id] = {target->registered.startedAtMs, now, target->hasSaidItLeaves, target->pausedUntil};
     }
     fleet.targets.erase(id);
 }
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -94,6 +94,7 @@
     std::uint64_t startedAtMs = 0; ///< its start, Unix milliseconds
     TimePoint removedAt{};
     bool hasSaidItLeaves = false;
+    TimePoint pausedUntil{};
 };
 
 /// All registered targets.
--- a/tests/relay_policy_test.cpp
+++ b/tests/relay_policy_test.cpp
@@ -273,4 +273,39 @@
     }
 }
 
+/// Guards against a target that gets what it does not want because its registry entry was removed and came back.
+BOOST_AUTO_TEST_CASE(whatATargetSaidOutlivesItsRegistryEntryButNotItsRestart)
+{
+    Fleet fleet;
+    RegisteredTarget registered{{"t"}, {"shop"}};
+    registered.startedAtMs = 7;
+    recordRegistration(fleet, registered, start);
+    recordRequestedPause(*findTarget(fleet, registered.id), milliseconds(3000), start);
+    recordLeaving(*findTarget(fleet, registered.id));
+    recordRemoval(fleet, registered.id, start);
+    recordRegistration(fleet, registered, start);
+    BOOST_TEST(isPaused(*findTarget(fleet, registered.id), start));
+    BOOST_TEST(isLeaving(*findTarget(fleet, registered.id)));
+    recordRemoval(fleet, registered.id, start);
+    ++registered.startedAtMs;
+    recordRegistration(fleet, registered, start);
+    BOOST_TEST(!isPaused(*findTarget(fleet, registered.id), start));
+    BOOST_TEST(!isLeaving(*findTarget(fleet, registered.id)));
+    BOOST_TEST(fleet.removedTargets.empty());
+}
+
+/// Guards against memory that grows with each target that ever left.
+BOOST_AUTO_TEST_CASE(removedTargetsAreForgotten)
+{
+    Fleet fleet;
+    for (const char *id : {"a", "b", "c"}) {
+        recordRegistration(fleet, {{id}, {"shop"}}, start);
+        recordRemoval(fleet, {id}, start);
+    }
+    BOOST_TEST(fleet.removedTargets.size() == 3U);
+    recordRegistration(fleet, {{"d"}, {"shop"}}, start);
+    recordRemoval(fleet, {"d"}, start + removedTargetLifetime + milliseconds(1));
+    BOOST_TEST(fleet.removedTargets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
