Fix: test runs beside each other took the same port

Seen: several runs of RelayCrashTest at once failed with 'listen for HTTP (127.0.0.11:15822): Address already in use'. Cause: a run's peer port is its process id plus a constant, and one test gives its second relay (127.0.0.11) the next port, which is that of the run with the next process id. Each run has two ports of its own now.

--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -143,8 +143,9 @@
     settings.readinessAddress = settings.host + ":0";
     // Derived from the process id, so that concurrent test runs on this machine use different ports.
     constexpr int firstPort = 10000;
-    constexpr int portCount = 20000;
-    settings.peerPort = firstPort + getpid() % portCount;
+    constexpr int portsOfRun = 2; // a test may give one relay the next port
+    constexpr int runs = 10000;
+    settings.peerPort = firstPort + getpid() % runs * portsOfRun;
     settings.metricsPort = 0;
     settings.seeds = {"127.0.0.10:1"};
     settings.store = d->storeAddress.toString();
