--- a/tests/relay_limit_test.cpp
+++ b/tests/relay_limit_test.cpp
@@ -68,26 +68,8 @@
 /// Sends requests through the relays in turn, for `time`.
 std::vector<RawCallPtr> sendSteadily(RelaySystem &system, std::size_t relays, milliseconds time, const std::string &first)
 {
-    std::vector<RawCallPtr> calls;
-    Timer timer(system.loop(), [&] {
-        const std::string id = first + std::to_string(calls.size());
-        calls.push_back(system.send(system.request("GET", "/read/x", id), calls.size() % relays));
-    });
-    timer.startRepeating(callInterval);
-    system.idle(time);
-    timer.stop();
-    system.wait("answers", [&] {
-        return std::all_of(calls.begin(), calls.end(), [](const RawCallPtr &call) {
-            return call->hasCompleteResponse();
-        });
-    });
-    return calls;
-}
-
-std::size_t countStatus(const std::vector<RawCallPtr> &calls, int status)
-{
-    return std::count_if(calls.begin(), calls.end(), [status](const RawCallPtr &call) {
-        return call->status() == status;
+    return system.startRepeatedly(callInterval, time, [&](std::size_t number) {
+        return system.send(system.request("GET", "/read/x", first + std::to_string(number)), number % relays);
     });
 }
 
@@ -166,21 +148,11 @@
     system.waitPlaced();
     system.engines().nameLimit("engine-0", limit);
     const auto streamFor = [&](milliseconds time, const std::string &first) {
-        std::vector<RawCallPtr> calls;
-        Timer timer(system.loop(), [&] {
-            const std::string id = first + std::to_string(calls.size());
+        return system.startRepeatedly(callInterval, time, [&](std::size_t number) {
+            const std::string id = first + std::to_string(number);
             const std::string bytes = system.request("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n");
-            calls.push_back(system.send(bytes, calls.size() % 3));
-        });
-        timer.startRepeating(callInterval);
-        system.idle(time);
-        timer.stop();
-        system.wait("answers", [&] {
-            return std::all_of(calls.begin(), calls.end(), [](const RawCallPtr &call) {
-                return call->hasCompleteResponse();
-            });
+            return system.send(bytes, number % 3);
         });
-        return calls;
     };
     streamFor(contactTime, "first-");
     const TimePoint from = std::chrono::steady_clock::now();
--- a/tests/relay_pause_test.cpp
+++ b/tests/relay_pause_test.cpp
@@ -51,28 +51,10 @@
     system.waitReady();
 }
 
-/// Sends calls at callInterval for `time` and waits for all responses.
 std::vector<RawCallPtr> callSteadily(RelaySystem &system, const std::string &method, const std::string &path, milliseconds time)
 {
-    std::vector<RawCallPtr> calls;
-    Timer timer(system.loop(), [&] {
-        calls.push_back(system.call(method, path, path + std::to_string(calls.size()), method == "POST" ? "seat 4" : ""));
-    });
-    timer.startRepeating(callInterval);
-    system.idle(time);
-    timer.stop();
-    system.wait("answers", [&] {
-        return std::all_of(calls.begin(), calls.end(), [](const RawCallPtr &call) {
-            return call->hasCompleteResponse();
-        });
-    });
-    return calls;
-}
-
-std::size_t countStatus(const std::vector<RawCallPtr> &calls, int status)
-{
-    return std::count_if(calls.begin(), calls.end(), [status](const RawCallPtr &call) {
-        return call->status() == status;
+    return system.startRepeatedly(callInterval, time, [&](std::size_t number) {
+        return system.call(method, path, path + std::to_string(number), method == "POST" ? "seat 4" : "");
     });
 }
 
@@ -108,22 +90,11 @@
     system.waitPlaced();
 }
 
-/// Starts streams at callInterval for `time` and waits for all responses.
 std::vector<RawCallPtr> streamSteadily(RelaySystem &system, milliseconds time, const std::string &first)
 {
-    std::vector<RawCallPtr> calls;
-    Timer timer(system.loop(), [&] {
-        calls.push_back(system.stream(first + std::to_string(calls.size())));
-    });
-    timer.startRepeating(callInterval);
-    system.idle(time);
-    timer.stop();
-    system.wait("answers", [&] {
-        return std::all_of(calls.begin(), calls.end(), [](const RawCallPtr &call) {
-            return call->hasCompleteResponse();
-        });
+    return system.startRepeatedly(callInterval, time, [&](std::size_t number) {
+        return system.stream(first + std::to_string(number));
     });
-    return calls;
 }
 
 } // namespace
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -71,6 +71,13 @@
     return ids;
 }
 
+std::size_t countStatus(const std::vector<RawCallPtr> &calls, int status)
+{
+    return std::count_if(calls.begin(), calls.end(), [status](const RawCallPtr &call) {
+        return call->status() == status;
+    });
+}
+
 // [SECTION] RelaySystem
 
 struct RunningRelay {
@@ -361,6 +368,23 @@
     return send(text);
 }
 
+std::vector<RawCallPtr> RelaySystem::startRepeatedly(milliseconds interval, milliseconds time, const std::function<RawCallPtr(std::size_t)> &start)
+{
+    std::vector<RawCallPtr> calls;
+    Timer timer(d->loop, [&] {
+        calls.push_back(start(calls.size()));
+    });
+    timer.startRepeating(interval);
+    idle(time);
+    timer.stop();
+    wait("answers", [&] {
+        return std::all_of(calls.begin(), calls.end(), [](const RawCallPtr &call) {
+            return call->hasCompleteResponse();
+        });
+    });
+    return calls;
+}
+
 EventLoop &RelaySystem::loop()
 {
     return d->loop;
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -36,6 +36,9 @@
 };
 using RawCallPtr = std::shared_ptr<RawCall>;
 
+/// Number of calls whose first response has this status.
+std::size_t countStatus(const std::vector<RawCallPtr> &calls, int status);
+
 /// Size and settings of a RelaySystem.
 struct RelaySystemOptions {
     int relays = 1;                                 ///< number of relays
@@ -85,6 +88,9 @@
     /// The same on the route whose streams can't be resumed.
     RawCallPtr unresumableStream(const std::string &id, const std::string &httpVersion = "HTTP/1.1");
 
+    /// Calls `start` at each `interval` for `time`, with numbers from 0, and waits until all responses are complete.
+    std::vector<RawCallPtr> startRepeatedly(milliseconds interval, milliseconds time, const std::function<RawCallPtr(std::size_t)> &start);
+
     EventLoop &loop();
     StandIn::TableStore &store();
     StandIn::ChainEngines &engines();
