Log which requests may be the cause of a crash, and what their prompts share

What identifies a request as a possible cause moves into a file of its own, relay/request_inputs.h. No decision changes.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -1,4 +1,5 @@
 // Forwarding to plain services, which send one response to a request.
+#include "relay/request_inputs.h"
 #include "relay/target_forwarding.h"
 
 #include <algorithm>
@@ -57,9 +58,9 @@
     {
         return m_request.route->kind == CallKind::Idempotent && !isQuarantinedInput(m_context, m_request);
     }
-    bool isPossibleCauseOfCrash() const override
+    int eventsOfAttempt() const override
     {
-        return true;
+        return 0;
     }
 
     TimePoint m_sentAt{}; ///< when the current attempt was sent
--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/text.h"
+#include "relay/request_inputs.h"
 
 namespace Parsleytrail
 {
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -1,8 +1,8 @@
 #include "relay/forwarded_request.h"
 
-#include "base/digest.h"
 #include "base/log.h"
 #include "base/text.h"
+#include "relay/request_inputs.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -73,32 +73,6 @@
     return bytes;
 }
 
-std::uint64_t inputFingerprint(const ForwardedRequest &request)
-{
-    const HttpHead &head = request.exchange->head();
-    std::uint64_t hash = hash64(request.exchange->body());
-    for (const std::string_view part :
-         {std::string_view(request.workspace.value), head.find("Host"), std::string_view(head.target), std::string_view(head.method)}) {
-        hash = hash64(part, hash);
-    }
-    return hash;
-}
-
-std::string inputText(const ForwardedRequest &request)
-{
-    return fingerprintText(inputFingerprint(request));
-}
-
-bool isSuspectInput(const RelayContext &context, const ForwardedRequest &request)
-{
-    return !context.crashingRequests.records.empty() && isSuspect(context.crashingRequests, inputFingerprint(request));
-}
-
-bool isQuarantinedInput(const RelayContext &context, const ForwardedRequest &request)
-{
-    return !context.crashingRequests.records.empty() && isQuarantined(context.crashingRequests, inputFingerprint(request));
-}
-
 milliseconds clampedRetryAfter(milliseconds wanted, milliseconds timeLeft)
 {
     constexpr double usableShare = 0.3; // callers wait for up to a third of their remaining time
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -36,16 +36,6 @@
 /// itself are not copied from the caller's request.
 std::string serializeRequest(const RelayContext &context, const ForwardedRequest &request, const TargetId &target, const std::vector<AddedField> &added);
 
-/// Fingerprint of what a request asks for: equal for all attempts of the same request by the same workspace, at any entry. Attempt
-/// ids, and other fields that differ between attempts, are not part of it.
-std::uint64_t inputFingerprint(const ForwardedRequest &request);
-/// Formats a fingerprint as 16 hexadecimal digits, for logs.
-std::string inputText(const ForwardedRequest &request);
-
-/// Whether the request was open at a crash of a target, and whether it is refused because it crashes targets.
-bool isSuspectInput(const RelayContext &context, const ForwardedRequest &request);
-bool isQuarantinedInput(const RelayContext &context, const ForwardedRequest &request);
-
 /// Limits a Retry-After time for a caller that waits for `timeLeft` at most: callers that are given a longer time don't retry.
 milliseconds clampedRetryAfter(milliseconds wanted, milliseconds timeLeft);
 /// Refuses a request that has certainly not run and will not run: 503 with Retry-After.
--- a/src/relay/platform_adapter.h
+++ b/src/relay/platform_adapter.h
@@ -27,7 +27,9 @@
     std::string expectedTarget;      ///< id of the only target that may run the request
     std::string seal;                ///< set by a target to prove that a response is its own
     std::string notExecuted;         ///< in a response: the target did not run the request
+    std::string model;               ///< name of the model that a request is for
     std::string tokenCounts;         ///< two numbers, such as "100,20": tokens of the prompt, maximum tokens of the answer
+    std::string promptParts;         ///< the parts of the prompt; see PlatformAdapter::decodePromptParts()
     std::string answerEstimate;      ///< the caller's estimate of the tokens of the answer
     std::string lastEventId;         ///< the stream resumes after the event with this id
     std::string chain;               ///< engines and layers that a request passes through
@@ -82,6 +84,8 @@
     virtual HttpClientRequest placeRequest(const PlaceOrder &order) const = 0;
     /// Command to the first engine of a chain: a running request continues through another chain with the same first stage.
     virtual HttpClientRequest moveRequest(const std::string &attemptId, const std::vector<ChainStage> &chain) const = 0;
+    /// Decodes the value of the field that lists the parts of a prompt: their ids in order. Requests share parts, but never the last one.
+    virtual std::vector<std::string> decodePromptParts(std::string_view text) const = 0;
     /// Encodes the value of the chain header field.
     virtual std::string encodeChain(const std::vector<ChainStage> &chain) const = 0;
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -15,6 +15,7 @@
 #include "relay/placement_controller.h"
 #include "relay/registry.h"
 #include "relay/relay_peers.h"
+#include "relay/request_inputs.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/src/relay/request_inputs.cpp
@@ -0,0 +1,63 @@
+#include "relay/request_inputs.h"
+
+#include "base/digest.h"
+#include "base/text.h"
+
+#include <algorithm>
+
+namespace Parsleytrail
+{
+
+std::uint64_t inputFingerprint(const ForwardedRequest &request)
+{
+    const HttpHead &head = request.exchange->head();
+    std::uint64_t hash = hash64(request.exchange->body());
+    for (const std::string_view part :
+         {std::string_view(request.workspace.value), head.find("Host"), std::string_view(head.target), std::string_view(head.method)}) {
+        hash = hash64(part, hash);
+    }
+    return hash;
+}
+
+std::string inputText(const ForwardedRequest &request)
+{
+    return fingerprintText(inputFingerprint(request));
+}
+
+std::vector<std::uint64_t> sharedPartFingerprints(const RelayContext &context, const ForwardedRequest &request)
+{
+    const HeaderNames &names = context.adapter.headers();
+    const HttpHead &head = request.exchange->head();
+    std::vector<std::string> ids = context.adapter.decodePromptParts(head.find(names.promptParts));
+    if (!ids.empty()) {
+        ids.pop_back();
+    }
+    ids.resize(std::min(ids.size(), maxSharedParts));
+    const std::uint64_t model = hash64(head.find(names.model));
+    std::vector<std::uint64_t> fingerprints;
+    for (const std::string &id : ids) {
+        fingerprints.push_back(hash64(id, model));
+    }
+    return fingerprints;
+}
+
+std::string sharedPartsText(const RelayContext &context, const ForwardedRequest &request)
+{
+    std::vector<std::string> texts;
+    for (const std::uint64_t part : sharedPartFingerprints(context, request)) {
+        texts.push_back(fingerprintText(part));
+    }
+    return joined(texts, ",");
+}
+
+bool isSuspectInput(const RelayContext &context, const ForwardedRequest &request)
+{
+    return !context.crashingRequests.records.empty() && isSuspect(context.crashingRequests, inputFingerprint(request));
+}
+
+bool isQuarantinedInput(const RelayContext &context, const ForwardedRequest &request)
+{
+    return !context.crashingRequests.records.empty() && isQuarantined(context.crashingRequests, inputFingerprint(request));
+}
+
+} // namespace Parsleytrail
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -8,6 +8,7 @@
 #include "policy/cross_data_center_budget.h"
 #include "policy/departure.h"
 #include "relay/chain_search.h"
+#include "relay/request_inputs.h"
 #include "relay/stream_demand.h"
 
 #include <absl/strings/str_cat.h>
@@ -54,9 +55,6 @@
 /// callers don't retry simultaneously.
 constexpr milliseconds capacityRetryAfter{1200};
 constexpr milliseconds capacityRetrySpread{2800};
-/// A request that crashes engines does so when they begin to run it. A stream that has continued past this many events is not
-/// the cause of a crash: otherwise all streams of a crashed engine would be suspects.
-constexpr int maxEventsOfSuspect = 2;
 
 class StreamForwarding final : public TargetForwarding
 {
@@ -106,9 +104,9 @@
     {
         return m_request.route->isResumable && !isQuarantinedInput(m_context, m_request);
     }
-    bool isPossibleCauseOfCrash() const override
+    int eventsOfAttempt() const override
     {
-        return m_eventsOfAttempt <= maxEventsOfSuspect;
+        return m_eventsOfAttempt;
     }
     std::string firstTarget() const
     {
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -1,10 +1,15 @@
 #include "relay/target_forwarding.h"
 
 #include "base/log.h"
+#include "relay/request_inputs.h"
 
 namespace Parsleytrail
 {
 
+/// A request that crashes targets does so when they begin to run it. A stream that has continued past this many events is not
+/// the cause of a crash: otherwise all streams of a crashed engine would be suspects.
+constexpr int maxEventsOfSuspect = 2;
+
 TargetForwarding::TargetForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
     : m_context(context)
     , m_hooks(hooks)
@@ -99,13 +104,12 @@
 /// Handles a failure once it is known whether the target crashed: a request that crashes its targets must not go to the next one.
 void TargetForwarding::handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure)
 {
-    const auto openTime = std::chrono::duration_cast<milliseconds>(m_context.clock.now() - sent.sentAt);
-    const bool isSuspect = isPossibleCauseOfCrash();
-    m_hooks.checkForCrash(sent.target, [self = shared_from_this(), this, sent, failure, openTime, isSuspect](TargetCondition condition) {
+    const InterruptedRun run{std::chrono::duration_cast<milliseconds>(m_context.clock.now() - sent.sentAt), eventsOfAttempt()};
+    m_hooks.checkForCrash(sent.target, [self = shared_from_this(), this, sent, failure, run](TargetCondition condition) {
         if (condition != TargetCondition::Running) {
-            recordCrash(sent, condition, openTime);
+            recordCrash(sent, condition, run);
         }
-        if (condition == TargetCondition::Crashed && isSuspect) {
+        if (condition == TargetCondition::Crashed && run.events <= maxEventsOfSuspect) {
             m_hooks.recordCrashedRun(m_request, sent);
         }
         const bool isCurrent = !m_isOver && m_exchange && m_sent == sent.number;
@@ -115,7 +119,7 @@
     });
 }
 
-void TargetForwarding::recordCrash(const SentRequest &sent, TargetCondition condition, milliseconds openTime)
+void TargetForwarding::recordCrash(const SentRequest &sent, TargetCondition condition, const InterruptedRun &run)
 {
     ++m_context.metrics.crashedRuns;
     logEvent(Event::TargetCrashed, {{"target", sent.target.value},
@@ -123,7 +127,9 @@
                                     {"id", m_request.attemptId},
                                     {"input", inputText(m_request)},
                                     {"workspace", m_request.workspace.value},
-                                    {"open_ms", std::to_string(openTime.count())}});
+                                    {"open_ms", std::to_string(run.openTime.count())},
+                                    {"events", std::to_string(run.events)},
+                                    {"parts", run.events <= maxEventsOfSuspect ? sharedPartsText(m_context, m_request) : std::string()}});
 }
 
 void TargetForwarding::cancelExchange()
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -7,6 +7,12 @@
 namespace Parsleytrail
 {
 
+/// How far a run was when its connection ended.
+struct InterruptedRun {
+    milliseconds openTime{0}; ///< since it was sent
+    int events = 0;           ///< events that were relayed
+};
+
 /// A forwarding that sends its request to one target at a time.
 class TargetForwarding : public Forwarding
 {
@@ -39,8 +45,8 @@
     /// Releases the resources of the current attempt.
     virtual void endAttempt() = 0;
 
-    /// Whether a crash of the target may be due to the present attempt.
-    virtual bool isPossibleCauseOfCrash() const = 0;
+    /// Events of the present attempt that were relayed.
+    virtual int eventsOfAttempt() const = 0;
 
     RelayContext &m_context;
     const ForwardingHooks &m_hooks;
@@ -54,7 +60,7 @@
     void recordNamedLimit(const TargetId &id, const HttpHead &head);
     void recordPauseRequest(const TargetId &id, const HttpHead &head);
     void handleUnansweredRun(const SentRequest &sent, const TargetFailure &failure);
-    void recordCrash(const SentRequest &sent, TargetCondition condition, milliseconds openTime);
+    void recordCrash(const SentRequest &sent, TargetCondition condition, const InterruptedRun &run);
 
     int m_sent = 0; ///< requests sent so far
 };
