Failing tests: requests whose prompts share a part that crashes engines are sent on

Stand-in engines crash when they begin to answer a prompt with a given part, and are replaced by empty ones after a while. Requests with the part come through three relays in turn, no two alike; sound ones have their first parts and their caller.

--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -32,7 +33,8 @@
     ConnectionPtr connection;
     std::string id;
     std::vector<EngineStage> chain;
-    int next = 1; ///< id of the next event to send
+    int next = 1;               ///< id of the next event to send
+    bool crashesEngine = false; ///< its prompt has a part that crashes engines
     std::unique_ptr<Timer> eventTimer;
     TimePoint stalledAt{};         ///< when it began to stall; the epoch if it makes progress
     std::string unavailableEngine; ///< address of the first unavailable engine; empty if none
@@ -78,6 +80,9 @@
     std::map<std::string, std::unique_ptr<ChainEngine>> engines;
     std::set<std::shared_ptr<EngineStream>> streams;
     std::set<ConnectionPtr> closing; ///< closed by an engine, with bytes that may still have to be sent
+    std::string crashingPart;        ///< part of a prompt that crashes engines; empty: none
+    std::vector<TimePoint> arrivalsOfCrashingPart;
+    std::vector<TimePoint> crashesByPromptPart;
     bool dropsOrderResponses = false;
     int startedStreams = 0;
     int movedStreams = 0;
@@ -94,6 +99,8 @@
     void handleInput(ChainEngine &engine, const ConnectionPtr &connection);
     void answer(const ConnectionPtr &connection, int status, const std::string &body, const std::string &fields = {});
     void beginStream(ChainEngine &engine, const ConnectionPtr &connection, const HttpHead &head);
+    bool hasCrashingPart(const HttpHead &head) const;
+    void crash(ChainEngine &engine);
     void sendEvent(const std::shared_ptr<EngineStream> &stream);
     void sendPart(const EngineStream &stream, std::string_view bytes);
     void endStream(const std::shared_ptr<EngineStream> &stream);
@@ -166,6 +173,10 @@
 {
     auto stream = std::make_shared<EngineStream>();
     stream->engine = &engine;
+    stream->crashesEngine = hasCrashingPart(head);
+    if (stream->crashesEngine) {
+        arrivalsOfCrashingPart.push_back(std::chrono::steady_clock::now());
+    }
     stream->connection = connection;
     stream->id = std::string(head.find("X-Attempt-Id"));
     stream->chain = parseChain(head.find("X-Hop-Count"));
@@ -207,8 +218,32 @@
     streams.insert(stream);
 }
 
+/// Whether a part of the prompt other than the last one crashes engines.
+bool ChainEngines::Private::hasCrashingPart(const HttpHead &head) const
+{
+    const std::vector<std::string> parts = splitList(head.find("X-Prompt-Prefix"), ',');
+    const auto matches = [this](const std::string &part) {
+        return part.substr(0, part.find(':')) == crashingPart;
+    };
+    return !crashingPart.empty() && !parts.empty() && std::any_of(parts.begin(), parts.end() - 1, matches);
+}
+
+void ChainEngines::Private::crash(ChainEngine &engine)
+{
+    engine.isDead = true;
+    engine.listener->close();
+    for (const ConnectionPtr &connection : std::exchange(engine.connections, {})) {
+        dropStreams(connection);
+        connection->reset();
+    }
+}
+
 void ChainEngines::Private::sendEvent(const std::shared_ptr<EngineStream> &stream)
 {
+    if (stream->crashesEngine) {
+        crashesByPromptPart.push_back(std::chrono::steady_clock::now());
+        return crash(*stream->engine);
+    }
     stream->unavailableEngine = findUnavailableEngine(stream->chain);
     const TimePoint now = std::chrono::steady_clock::now();
     if (!stream->unavailableEngine.empty()) {
@@ -409,13 +444,27 @@
 
 void ChainEngines::crash(const std::string &id)
 {
-    ChainEngine &engine = *d->engines.at(id);
-    engine.isDead = true;
-    engine.listener->close();
-    for (const ConnectionPtr &connection : std::exchange(engine.connections, {})) {
-        d->dropStreams(connection);
-        connection->reset();
-    }
+    d->crash(*d->engines.at(id));
+}
+
+void ChainEngines::crashOnPromptPart(const std::string &part)
+{
+    d->crashingPart = part;
+}
+
+const std::vector<TimePoint> &ChainEngines::arrivalsOfCrashingPart() const
+{
+    return d->arrivalsOfCrashingPart;
+}
+
+const std::vector<TimePoint> &ChainEngines::crashesByPromptPart() const
+{
+    return d->crashesByPromptPart;
+}
+
+bool ChainEngines::isCrashed(const std::string &id) const
+{
+    return d->engines.at(id)->isDead;
 }
 
 void ChainEngines::refuseNewStreams(const std::string &id)
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -54,6 +54,12 @@
     void makeUnresponsive(const std::string &id);
     /// The engine resets all connections and accepts no new ones.
     void crash(const std::string &id);
+    /// Each engine that begins to answer a prompt with this part crashes before its first event. The last part of a prompt never does that.
+    void crashOnPromptPart(const std::string &part);
+    /// When streams with such a part reached engines, and when engines crashed because of them.
+    const std::vector<TimePoint> &arrivalsOfCrashingPart() const;
+    const std::vector<TimePoint> &crashesByPromptPart() const;
+    bool isCrashed(const std::string &id) const;
     /// The engine refuses new streams whose chain includes it and continues the open ones.
     void refuseNewStreams(const std::string &id);
     /// The engine accepts new streams and never begins them. It answers probes, and open streams continue.
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -106,6 +106,7 @@
     std::vector<std::unique_ptr<RunningRelay>> relays;
     std::map<std::string, Address> engineAddresses;
     std::map<std::string, int> heartbeats;
+    std::map<std::string, TimePoint> crashedAt; ///< engines that are down, and since when
     std::vector<std::unique_ptr<Timer>> timers;
     Address storeAddress;
 };
@@ -217,6 +218,36 @@
     d->store.remove("servers", id);
 }
 
+void RelaySystem::superviseEngines(milliseconds downTime)
+{
+    constexpr milliseconds heartbeatInterval{100};
+    d->timers.push_back(std::make_unique<Timer>(d->loop, [this, downTime] {
+        writeEngineEntries(downTime);
+    }));
+    d->timers.back()->startRepeating(heartbeatInterval);
+}
+
+void RelaySystem::writeEngineEntries(milliseconds downTime)
+{
+    const TimePoint now = d->clock.now();
+    const std::map<std::string, Address> engines = d->engineAddresses;
+    for (const auto &[id, address] : engines) {
+        if (!d->engines.isCrashed(id)) {
+            registerEngine(id);
+            continue;
+        }
+        const TimePoint since = d->crashedAt.try_emplace(id, now).first->second;
+        if (now - since < downTime) {
+            continue;
+        }
+        unregister(id);
+        d->engineAddresses.erase(id);
+        const std::string successor = id + "+";
+        d->engineAddresses[successor] = d->engines.add(successor);
+        registerEngine(successor);
+    }
+}
+
 void RelaySystem::configure(int version, const std::vector<std::string> &keys)
 {
     const int layers = d->options.engineOptions.layers;
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -67,6 +67,9 @@
     void registerTarget(const std::string &id, const std::string &service, const Address &address, const std::string &state = "ready");
     void registerEngine(const std::string &id, const std::string &state = "ready");
     void unregister(const std::string &id);
+    /// From now on engines write their registry entries again and again, and one that crashed is replaced after `downTime` by an empty one
+    /// with another id, as a supervisor would start it.
+    void superviseEngines(milliseconds downTime);
     /// Writes a configuration; `keys` are the API keys of the workspace "studio".
     void configure(int version, const std::vector<std::string> &keys = {"key-1"});
     /// Whether a relay reports that it accepts connections.
@@ -100,6 +103,7 @@
 
 private:
     bool hasReceivedLayers(const Relay &relay) const;
+    void writeEngineEntries(milliseconds downTime);
 
     struct Private;
     std::unique_ptr<Private> d;
