Fix: a message that crashes engines was sent on by parsley-entry in each new request

What callers saw: six requests of which no two are alike, with one message that crashes engines, took down all seven holders of the first layers; sound requests were answered 503 from then on. Each request was refused only after two crashes of its own.

Change: the messages before the last one are inputs of their own, in the table that entries already exchange for calls. Three crashes that no other input explains make them refused; eight tokens clear them, and parts that can't be told apart are refused only together. allow-inputs of the service lifts this too.

Test: requests_that_share_a_message_that_crashes_engines_are_refused: 7 crashed engines before, at most 4 now, sound requests between them served. Sidecars need no change: they tell which crash ended a stream, and don't read prompts. Calls to applications have no messages.

--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -86,8 +86,10 @@
         if (!readContent(message["content"], text, error)) {
             return false;
         }
-        request.prompt += message["role"].get<std::string>() + ": " + text + "\n";
+        request.sharedMessages.push_back(message["role"].get<std::string>() + ": " + text + "\n");
+        request.prompt += request.sharedMessages.back();
     }
+    request.sharedMessages.pop_back();
     return true;
 }
 
--- a/src/entry/completion_request.h
+++ b/src/entry/completion_request.h
@@ -8,6 +8,7 @@
 #include "http/server.h"
 
 #include <string>
+#include <vector>
 
 namespace Parsleytrail
 {
@@ -18,11 +19,12 @@
 /// A parsed and validated request.
 struct CompletionRequest {
     CompletionKind kind = CompletionKind::Chat;
-    std::string service;         ///< name of the service; the field "model" of the request
-    std::string prompt;          ///< input text for the engines
-    bool isStream = false;       ///< the response is sent as server-sent events
-    bool includeUsage = false;   ///< a final event with the token counts is requested
-    std::uint32_t maxTokens = 0; ///< most tokens to generate; 0: the service's max-tokens
+    std::string service;                     ///< name of the service; the field "model" of the request
+    std::string prompt;                      ///< input text for the engines
+    std::vector<std::string> sharedMessages; ///< messages before the last one, which other requests may have too
+    bool isStream = false;                   ///< the response is sent as server-sent events
+    bool includeUsage = false;               ///< a final event with the token counts is requested
+    std::uint32_t maxTokens = 0;             ///< most tokens to generate; 0: the service's max-tokens
 };
 
 /// An error response in the completion protocol's error object.
--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -34,7 +34,7 @@
 {
     CompletionError error;
     error.status = 422;
-    error.message = "this input was being run at two separate deaths of engines and is refused; the operator can lift it";
+    error.message = "this input, or a message of it, was being run at separate crashes of engines and is refused; the operator can lift it";
     error.code = "input_refused";
     error.outcome = outcome;
     return error;
@@ -63,6 +63,7 @@
     EntryContext &context;
     Streams &streams;
     const InputGuard &guard;
+    const CallGuard &partGuard;
     UsageRecorder &usageRecorder;
     AdmissionQueue admission;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
@@ -217,11 +218,16 @@
     stream.prompt = request.prompt;
     stream.maxTokens = request.maxTokens > 0 ? request.maxTokens : static_cast<std::uint32_t>(service.maxTokens);
     const UsageOwner owner{caller.workspace, {request.service}, {service.model}, caller.section->worth};
-    stream.fingerprint = hash64(request.prompt, hash64(request.service));
+    const std::uint64_t serviceHash = hash64(request.service);
+    stream.fingerprint = hash64(request.prompt, serviceHash);
+    for (const std::string &message : request.sharedMessages) {
+        stream.parts.push_back(hash64(message, serviceHash) | partBit);
+    }
     stream.service.value = request.service;
     stream.workspace = caller.workspace;
     stream.allowedInputs = service.allowInputs;
-    if (guard.classify(stream.fingerprint, service.allowInputs) == InputStatus::Quarantined) {
+    const bool isQuarantined = guard.classify(stream.fingerprint, service.allowInputs) == InputStatus::Quarantined;
+    if (isQuarantined || partGuard.isRefused(inputsOf(stream), service.allowInputs)) {
         ++refused;
         usageRecorder.countRefused(owner);
         return replyCompletionError(exchange, quarantinedInputError(Outcome::NotRun), caller.publicId);
@@ -251,10 +257,11 @@
 
 // [SECTION] Completions
 
-Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard, UsageRecorder &usageRecorder)
+Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard, const CallGuard &partGuard, UsageRecorder &usageRecorder)
     : d(new Private{context,
                     streams,
                     guard,
+                    partGuard,
                     usageRecorder,
                     AdmissionQueue(context),
                     {},
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -155,11 +155,11 @@
     targets = std::make_unique<Targets>(*context);
     guard = std::make_unique<InputGuard>(*context);
     callGuard = std::make_unique<CallGuard>(*context);
-    streams = std::make_unique<Streams>(*context, *targets, *guard);
+    streams = std::make_unique<Streams>(*context, *targets, *guard, *callGuard);
     usageRecorder = std::make_unique<UsageRecorder>(*context, *store);
     keys = std::make_unique<KeyedCalls>(*context, *store);
     calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *usageRecorder, *callGuard);
-    completions = std::make_unique<Completions>(*context, *streams, *guard, *usageRecorder);
+    completions = std::make_unique<Completions>(*context, *streams, *guard, *callGuard, *usageRecorder);
     configurationManager = std::make_unique<ConfigurationManager>(*context, *store);
     datagrams = std::make_unique<DatagramSocket>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
         return handleDatagram(frame, from);
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -17,7 +17,10 @@
 /// reports of reachable stages.
 constexpr milliseconds maxProgressTimeout{5000};
 constexpr milliseconds exclusionLifetime{500}; ///< after waiting this long, a stream may use targets again that failed it
-constexpr double retryRefillPerSecond = 0.1;   ///< new attempts earned each second, as a share of the open streams, beyond those earned by requests
+/// Engines crash when they begin to answer: a stream with more tokens is not the cause, and one with many shows that no message of it is.
+constexpr std::size_t maxTokensOfSuspect = 2;
+constexpr std::size_t tokensOfSoundRun = 8;
+constexpr double retryRefillPerSecond = 0.1; ///< new attempts earned each second, as a share of the open streams, beyond those earned by requests
 
 namespace
 {
@@ -66,6 +69,7 @@
     EntryContext &context;
     Targets &targets;
     InputGuard &guard;
+    CallGuard &partGuard;
     std::unordered_map<RequestId, OpenStream> streams;
     std::map<ModelName, ModelTimes> timesByModel;
     TimePoint refilledAt{};
@@ -77,10 +81,11 @@
     TimeHistogram &betweenTokens;
     TimeHistogram &recovery;
 
-    Private(EntryContext &entryContext, Targets &entryTargets, InputGuard &inputGuard)
+    Private(EntryContext &entryContext, Targets &entryTargets, InputGuard &inputGuard, CallGuard &messageGuard)
         : context(entryContext)
         , targets(entryTargets)
         , guard(inputGuard)
+        , partGuard(messageGuard)
         , suspectTimer(context.loop,
                        [this] {
                            retryWaiting();
@@ -212,7 +217,8 @@
     if (stream.attempt.value >= maxAttempts) {
         return fail(stream, error);
     }
-    if (stream.isSuspect && guard.classify(stream.request.fingerprint, stream.request.allowedInputs) == InputStatus::Quarantined) {
+    const bool isQuarantined = guard.classify(stream.request.fingerprint, stream.request.allowedInputs) == InputStatus::Quarantined;
+    if (stream.isSuspect && (isQuarantined || partGuard.isRefused(inputsOf(stream.request), stream.request.allowedInputs))) {
         return refuseQuarantined(stream, error);
     }
     const bool hasChain = !stream.chain.empty() || selectStages(stream);
@@ -346,6 +352,9 @@
         guard.clearInput(stream->request.fingerprint);
     }
     stream->emitted.push_back(frame.token);
+    if (stream->emitted.size() == tokensOfSoundRun || frame.finish != FinishReason::None) {
+        partGuard.recordSoundParts(stream->request.parts);
+    }
     stream->lastProgressAt = now;
     stream->inconclusiveQueries = 0;
     stream->isQueryPending = false;
@@ -377,12 +386,16 @@
         return true;
     }
     guard.recordEngineCrash(request.fingerprint, frame.crash, request.service, request.workspace, request.id);
+    if (stream.emitted.size() <= maxTokensOfSuspect) {
+        partGuard.recordCrash(inputsOf(request), frame.crash, request.service);
+    }
     stream.isSuspect = true;
     stream.retryNotBefore = context.clock.now() + suspectRetryDelay;
     if (!suspectTimer.isRunning()) {
         suspectTimer.start(suspectRetryDelay + milliseconds(1));
     }
-    if (guard.classify(request.fingerprint, request.allowedInputs) != InputStatus::Quarantined) {
+    const bool isQuarantined = guard.classify(request.fingerprint, request.allowedInputs) == InputStatus::Quarantined;
+    if (!isQuarantined && !partGuard.isRefused(inputsOf(request), request.allowedInputs)) {
         return true;
     }
     if (frame.stageIndex < stream.chain.size()) {
@@ -396,7 +409,7 @@
 {
     StreamFailure failure;
     failure.isQuarantined = true;
-    fail(stream, {error.step, error.peer, "the input was in flight at two separate deaths of engines"}, failure);
+    fail(stream, {error.step, error.peer, "the input, or a message of it, was in flight at separate crashes of engines"}, failure);
 }
 
 void Streams::Private::handleStageFailure(const StageFailed &frame)
@@ -520,8 +533,13 @@
 
 // [SECTION] Streams
 
-Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard)
-    : d(std::make_unique<Private>(context, targets, guard))
+RequestInputs inputsOf(const StreamRequest &request)
+{
+    return {request.fingerprint & ~partBit, request.parts};
+}
+
+Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard, CallGuard &partGuard)
+    : d(std::make_unique<Private>(context, targets, guard, partGuard))
 {
 }
 
--- a/src/entry/streams.h
+++ b/src/entry/streams.h
@@ -5,6 +5,7 @@
 // results again.
 #pragma once
 
+#include "entry/call_guard.h"
 #include "entry/input_guard.h"
 #include "entry/targets.h"
 #include "policy/chain.h"
@@ -22,12 +23,16 @@
     std::uint32_t maxTokens = 1;            ///< most tokens to generate
     std::uint32_t priority = 0;             ///< priority of the request; 0 is lowest
     std::uint64_t fingerprint = 0;          ///< hash of the input and its service
+    std::vector<std::uint64_t> parts;       ///< fingerprints of the messages that other inputs of the service may share
     ServiceName service;                    ///< service that the caller named
     WorkspaceName workspace;                ///< workspace of the caller
     std::vector<std::string> allowedInputs; ///< fingerprints that are never refused: the service's allow-inputs
     milliseconds deadline{60000};           ///< longest time until the response is complete
 };
 
+/// The input of a request and its messages, as possible causes of a crash.
+RequestInputs inputsOf(const StreamRequest &request);
+
 /// Why a stream ended before its last token.
 struct StreamFailure {
     Error error;                       ///< failed step, peer and reason
@@ -47,7 +52,7 @@
 class Streams
 {
 public:
-    Streams(EntryContext &context, Targets &targets, InputGuard &guard);
+    Streams(EntryContext &context, Targets &targets, InputGuard &guard, CallGuard &partGuard);
     ~Streams();
 
     /// Opens a stream. Callbacks are called later, never from within this call.
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -268,11 +268,16 @@
     }
 }
 
-AnswerPtr Cluster::requestCompletion(const std::string &prompt, std::uint32_t maxTokens, std::size_t entry)
+AnswerPtr Cluster::requestCompletion(const std::string &prompt, std::uint32_t maxTokens, std::size_t entry, const std::string &systemMessage)
 {
     const auto answer = std::make_shared<Answer>();
     const auto remainder = std::make_shared<std::string>();
-    const json body = {{"model", "chat"}, {"stream", true}, {"max_tokens", maxTokens}, {"messages", {{{"role", "user"}, {"content", prompt}}}}};
+    json messages = json::array();
+    if (!systemMessage.empty()) {
+        messages.push_back({{"role", "system"}, {"content", systemMessage}});
+    }
+    messages.push_back({{"role", "user"}, {"content", prompt}});
+    const json body = {{"model", "chat"}, {"stream", true}, {"max_tokens", maxTokens}, {"messages", messages}};
     HttpStreamHandlers handlers;
     handlers.onHead = [answer](int status, const HttpHeaders &headers) {
         answer->status = status;
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -58,8 +58,8 @@
     /// Runs the loop for a fixed time; only for checks that something does not happen, and to pace a test.
     void idle(milliseconds time);
 
-    /// Sends a streamed completion request to an entry.
-    AnswerPtr requestCompletion(const std::string &prompt, std::uint32_t maxTokens, std::size_t entry = 0);
+    /// Sends a streamed completion request to an entry, with a message of the system before the prompt unless it is empty.
+    AnswerPtr requestCompletion(const std::string &prompt, std::uint32_t maxTokens, std::size_t entry = 0, const std::string &systemMessage = {});
     /// Sends a request to an entry's port for callers and waits for the response.
     HttpResult send(HttpClientRequest request, std::size_t entry = 0);
     /// Sends a request without waiting; the result is set when the response has arrived.
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -168,6 +168,29 @@
     BOOST_TEST(countCrashedEngines(cluster) == 2u);
 }
 
+/// Guards against a message that crashes engine after engine, in requests of which no two are alike.
+BOOST_AUTO_TEST_CASE(requests_that_share_a_message_that_crashes_engines_are_refused)
+{
+    Cluster cluster(slowEngines(7));
+    crashEnginesOnInput(cluster);
+    constexpr std::size_t requests = 6;
+    std::vector<int> statuses;
+    for (std::size_t i = 0; i < requests; ++i) {
+        const AnswerPtr crashing = cluster.requestCompletion("question " + std::to_string(i), 10, i % 2, crashInput);
+        cluster.wait("the refusal", [&] {
+            return crashing->isEnded;
+        });
+        statuses.push_back(crashing->status);
+        const AnswerPtr sound = cluster.requestCompletion("question " + std::to_string(i), 10, i % 2, "answer briefly");
+        cluster.wait("the answer", [&] {
+            return sound->isEnded;
+        });
+        BOOST_TEST(sound->status == 200);
+    }
+    BOOST_TEST(statuses == std::vector<int>(requests, 422), boost::test_tools::per_element());
+    BOOST_TEST(countCrashedEngines(cluster) <= 4U);
+}
+
 BOOST_AUTO_TEST_CASE(the_operator_allows_a_quarantined_input)
 {
     // The engines no longer crash on the input, and the operator allows it by its fingerprint in the service's section.
