Fix: limits of targets were shared with 400 entries for two seconds after a start

What callers saw: in the first two seconds after an entry's start, over half of the calls to targets that name limits were refused, though the limits were twice the load (30 calls a second over three relays, three targets with 20 a second each).

Cause: until all others should be known, two seconds after a start, an entry assumes 400 entries. This protects retry budgets, which hold at any moment. A limit of a target binds only seconds after it was named, and an entry that has heard of others knows how many they are. It was suspected that others who have not reported yet are assumed to want as much as this one: with relays that had run for three seconds before the limit was named nothing was refused, so that is not the cause.

Change: limits are shared among the entries that are known, as soon as any other is.

--- a/src/policy/shared_budget.cpp
+++ b/src/policy/shared_budget.cpp
@@ -38,4 +38,9 @@
     return mayMissSome ? std::max(seen, assumedEntries) : seen;
 }
 
+int knownEntriesToShareWith(const EntryCount &count, TimePoint now)
+{
+    return count.mostPeersSeen > 0 ? 1 + count.mostPeersSeen : entriesToShareWith(count, now);
+}
+
 } // namespace Parsleytrail
--- a/src/policy/shared_budget.h
+++ b/src/policy/shared_budget.h
@@ -49,6 +49,8 @@
 /// be cut off from this one only, and keep their shares. It is at least `assumedEntries` while there may be entries that are not
 /// known yet.
 int entriesToShareWith(const EntryCount &count, TimePoint now);
+/// The same as soon as any other entry is known: too low for a moment after a start. For limits that may be exceeded for seconds.
+int knownEntriesToShareWith(const EntryCount &count, TimePoint now);
 
 constexpr int assumedEntries = 400;             ///< while no others are known: the most that any fleet is expected to have
 constexpr milliseconds peerDiscoveryTime{2000}; ///< after a start, until all others should be known
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -75,7 +75,7 @@
 {
     const TimePoint now = context.clock.now();
     const bool isLimited = limitInForce(target.demand, now) > 0;
-    const bool isAdmitted = admitRequest(target.demand, entriesToShareWith(context.entryCount, now), now);
+    const bool isAdmitted = admitRequest(target.demand, knownEntriesToShareWith(context.entryCount, now), now);
     context.metrics.limitedSends += isLimited && isAdmitted ? 1 : 0;
     context.metrics.limitSkips += isAdmitted ? 0 : 1;
     return isAdmitted;
--- a/tests/relay_limit_test.cpp
+++ b/tests/relay_limit_test.cpp
@@ -99,6 +99,25 @@
     BOOST_TEST(countSince(targets[0].arrivals, from) >= targets[0].limit * 3);
 }
 
+/// Guards against refusing requests that the limits allow, in the time after a target has named one and until entries have told each other.
+BOOST_AUTO_TEST_CASE(aLimitThatHasJustBeenNamedCostsNoCallerAnything)
+{
+    constexpr milliseconds firstTime{2000};
+    for (const milliseconds runBefore : {milliseconds(0), contactTime}) {
+        RelaySystem system(threeRelays());
+        std::vector<LimitedTarget> targets(3);
+        addTargets(system, targets);
+        if (runBefore > milliseconds(0)) {
+            sendSteadily(system, 3, runBefore, "before-");
+        }
+        for (LimitedTarget &target : targets) {
+            target.limit = 20;
+        }
+        const std::vector<RawCallPtr> calls = sendSteadily(system, 3, firstTime, "first-");
+        BOOST_TEST(countStatus(calls, 503) <= calls.size() / 20, runBefore.count() << " ms after the start");
+    }
+}
+
 /// Guards against holding requests that no target takes now, and against sending them all the same.
 BOOST_AUTO_TEST_CASE(requestsOverTheLimitsOfAllTargetsAreRefusedAtOnce)
 {
--- a/tests/shared_budget_test.cpp
+++ b/tests/shared_budget_test.cpp
@@ -163,6 +163,8 @@
     BOOST_TEST(entriesToShareWith({true, now, 0}, now + std::chrono::hours(1)) == assumedEntries);
     BOOST_TEST(entriesToShareWith({true, now, 3}, now + std::chrono::hours(1)) == 4);
     BOOST_TEST(entriesToShareWith({true, now, 1}, now + milliseconds(100)) == assumedEntries);
+    BOOST_TEST(knownEntriesToShareWith({true, now, 1}, now + milliseconds(100)) == 2);
+    BOOST_TEST(knownEntriesToShareWith({true, now, 0}, now + milliseconds(100)) == assumedEntries);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
