--- /dev/null
+++ b/tests/relay_hot_entry_test.cpp
@@ -0,0 +1,136 @@
+// Relays of which one gets most new connections for a time.
+#include "stand-ins/balancer.h"
+#include "tests/relay_system.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Parsleytrail;
+using namespace Parsleytrail::Test;
+using StandIn::RawReply;
+using StandIn::RawRequest;
+using StandIn::sealedAnswer;
+
+namespace
+{
+
+constexpr std::size_t relays = 3;
+constexpr double concentratedShare = 0.8;
+constexpr milliseconds settleTime{3000};  ///< before the wave begins to be compared with
+constexpr milliseconds beforeTime{2000};  ///< that the wave is compared with
+constexpr milliseconds contactTime{3000}; ///< from this long after the wave's begin on, the rule holds
+constexpr milliseconds waveTime{4000};    ///< after contactTime
+constexpr double allowedShare = 0.75;     ///< of the first attempts that were served before
+
+/// Sends requests through a balancer, counting those whose first attempt was served.
+class BalancedTraffic
+{
+public:
+    using Send = std::function<RawCallPtr(std::size_t number, std::size_t relay)>;
+
+    BalancedTraffic(RelaySystem &system, milliseconds interval, Send send)
+        : m_system(system)
+        , m_interval(interval)
+        , m_send(std::move(send))
+        , m_balancer(std::vector<StandIn::BalancedEntry>(relays, {"dc-1", true}), 5)
+    {
+    }
+
+    StandIn::Balancer &balancer()
+    {
+        return m_balancer;
+    }
+    /// Share of the requests of the next `time` that were served at the first attempt.
+    double servedShare(milliseconds time)
+    {
+        const std::vector<RawCallPtr> calls = m_system.startRepeatedly(m_interval, time, [this](std::size_t) {
+            const std::size_t number = ++m_requests;
+            return m_send(number, m_balancer.choose(number, "dc-1"));
+        });
+        return static_cast<double>(countStatus(calls, 200)) / static_cast<double>(calls.size());
+    }
+
+private:
+    RelaySystem &m_system;
+    milliseconds m_interval;
+    Send m_send;
+    StandIn::Balancer m_balancer;
+    std::size_t m_requests = 0;
+};
+
+/// Checks the rule during a wave, and after the wave went on to another entry.
+void checkWave(BalancedTraffic &traffic)
+{
+    traffic.servedShare(settleTime);
+    const double before = traffic.servedShare(beforeTime);
+    BOOST_TEST_REQUIRE(before > 0.5);
+    traffic.balancer().concentrate(concentratedShare);
+    traffic.servedShare(contactTime);
+    BOOST_TEST(traffic.servedShare(waveTime) >= allowedShare * before);
+    traffic.balancer().setIn(traffic.balancer().preferredEntry(), false);
+    BOOST_TEST(traffic.servedShare(waveTime) >= allowedShare * before);
+}
+
+RelaySystemOptions threeRelays()
+{
+    RelaySystemOptions options;
+    options.relays = relays;
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayHotEntryTest)
+
+/// Guards against shares of limits that stay with the entries which have no callers any more.
+BOOST_AUTO_TEST_CASE(callsAreServedAsBeforeWhileMostComeToOneEntry)
+{
+    RelaySystem system(threeRelays());
+    for (const char *id : {"t0", "t1", "t2"}) {
+        system.addTarget(id, [](const RawRequest &request) {
+            return RawReply{sealedAnswer(request, "fine", "HTTP/1.1 200 OK", "Server-Limit: 15\r\n")};
+        });
+    }
+    system.waitReady();
+    BalancedTraffic traffic(system, milliseconds(33), [&](std::size_t number, std::size_t relay) {
+        return system.send(system.request("GET", "/read/x", "c-" + std::to_string(number)), relay);
+    });
+    checkWave(traffic);
+}
+
+/// Guards against retries that one entry lacks while its callers are those of all.
+BOOST_AUTO_TEST_CASE(failedCallsAreRetriedAsBeforeWhileMostComeToOneEntry)
+{
+    RelaySystem system(threeRelays());
+    std::size_t arrivals = 0;
+    for (const char *id : {"t0", "t1", "t2"}) {
+        system.addTarget(id, [&arrivals](const RawRequest &request) {
+            RawReply reply{sealedAnswer(request, "fine")};
+            reply.resets = ++arrivals % 8 == 0;
+            reply.bytes = reply.resets ? std::string() : reply.bytes;
+            return reply;
+        });
+    }
+    system.waitReady();
+    BalancedTraffic traffic(system, milliseconds(33), [&](std::size_t number, std::size_t relay) {
+        return system.send(system.request("GET", "/read/x", "c-" + std::to_string(number)), relay);
+    });
+    checkWave(traffic);
+}
+
+/// Guards against the same at engines.
+BOOST_AUTO_TEST_CASE(streamsAreServedAsBeforeWhileMostComeToOneEntry)
+{
+    RelaySystemOptions options = threeRelays();
+    options.engines = 4;
+    options.engineOptions.events = 8;
+    RelaySystem system(options);
+    system.waitReady();
+    system.waitPlaced();
+    BalancedTraffic traffic(system, milliseconds(40), [&](std::size_t number, std::size_t relay) {
+        const std::string id = "s-" + std::to_string(number);
+        return system.send(system.request("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n"), relay);
+    });
+    checkWave(traffic);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
