Fix: an entry read all connections that came, more than it had processor time for

Nothing moved to the other entries, which had time left.

Cause: the listener accepts and reads every connection. Class of fault: admission without regard to the resource that runs out.

Over the limit a connection is closed unread, which is no request lost: its caller retries at another entry at once.

--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -22,6 +22,9 @@
 struct RelayMetrics {
     Metrics all;
     std::uint64_t &requests = all.counter("parsley_relay_requests", "Requests read from callers.");
+    std::uint64_t &connections = all.counter("parsley_relay_connections", "Connections of callers that were accepted.");
+    std::uint64_t &connectionsClosedUnread =
+        all.counter("parsley_relay_connections_closed_unread", "Connections of callers that were closed before anything was read, because of too much work.");
     std::uint64_t &served = all.counter("parsley_relay_served", "Requests answered with a target's whole answer.");
     std::uint64_t &servedUntilClose = all.counter("parsley_relay_served_until_close", "Of these, answers that ended with their connection.");
     std::uint64_t &refused = all.counter("parsley_relay_refused", "Requests refused without having run.");
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -7,6 +7,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "policy/fallback_leader.h"
+#include "policy/overload.h"
 #include "relay/caller_session.h"
 #include "relay/crash_guard.h"
 #include "relay/engine_prober.h"
@@ -18,6 +19,7 @@
 #include "relay/request_inputs.h"
 #include "wire/compression.h"
 
+#include <event2/util.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -72,6 +74,8 @@
     std::function<void()> finished{};
     TimePoint drainStartedAt{};
     TimePoint leaderReportedAt{}; ///< when another entry was last reported to send orders, or the start
+    OverloadGuard overload{};
+    TimePoint checkedAt{}; ///< last call of checkForwardings()
     bool isDraining = false;
     bool wasReady = false;
     bool isFallbackLeader = false; ///< this entry sends orders without the lease, while the store is unreachable
@@ -81,6 +85,8 @@
     void forward(ForwardedRequest request);
     void refuseQuarantined(const ForwardedRequest &request, std::uint64_t input);
     void applyCallerLimits();
+    void acceptConnection(int socket);
+    void recordLag(TimePoint now);
     void checkForwardings();
     void probeSuspects(const std::vector<ForwardingPtr> &open, TimePoint now);
     void moveStream(const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done);
@@ -190,9 +196,35 @@
     refuseRequest(context, request, refusal, 0);
 }
 
+void Relay::Private::acceptConnection(int socket)
+{
+    if (acceptsConnection(overload, static_cast<int>(sessions->openExchanges()))) {
+        ++context.metrics.connections;
+        return sessions->add(socket);
+    }
+    ++context.metrics.connectionsClosedUnread;
+    evutil_closesocket(socket);
+}
+
+/// Records how late the timer of checkForwardings() has fired, and logs when connections begin or cease to be closed unread.
+void Relay::Private::recordLag(TimePoint now)
+{
+    const auto sinceLast = std::chrono::duration_cast<milliseconds>(now - std::exchange(checkedAt, now));
+    const bool wasLimited = overload.openLimit > 0;
+    recordTimerLag(overload, sinceLast - forwardingCheckInterval, static_cast<int>(sessions->openExchanges()), now);
+    const bool isLimited = overload.openLimit > 0;
+    if (isLimited != wasLimited) {
+        logEvent(Event::OverloadLimit, {{"limit", std::to_string(static_cast<int>(overload.openLimit))},
+                                        {"open", std::to_string(sessions->openExchanges())},
+                                        {"connections", std::to_string(sessions->count())},
+                                        {"lag_ms", std::to_string(static_cast<int>(overload.averageLagMs))}});
+    }
+}
+
 void Relay::Private::checkForwardings()
 {
     const TimePoint now = context.clock.now();
+    recordLag(now);
     const std::vector<ForwardingPtr> open = forwardings;
     for (const ForwardingPtr &forwarding : open) {
         forwarding->checkTimeouts(now);
@@ -365,6 +397,7 @@
 {
     Private &data = *d;
     data.context.entryCount.startedAt = clock.now();
+    data.checkedAt = clock.now();
     data.leaderReportedAt = clock.now();
     data.context.entryCount.mayHavePeers = hasOtherSeeds(settings);
     data.context.random.seed(hash64(settings.id, incarnationNow(clock).value));
@@ -372,7 +405,7 @@
         data.handleRequest(exchange);
     });
     data.listener = std::make_unique<Listener>(loop, [&data](int socket) {
-        data.sessions->add(socket);
+        data.acceptConnection(socket);
     });
     data.forwardingTimer = std::make_unique<Timer>(loop, [&data] {
         data.checkForwardings();
@@ -604,8 +637,7 @@
                                       {"peersWantedPerSecond", target.demand.peersWanted}};
     }
     for (const auto &[input, record] : context.crashingRequests.records) {
-        state["crashingRequests"][fingerprintText(input)] = {{"crashes", record.crashes.size()},
-                                                               {"isRefused", isRefused(context.crashingRequests, input)}};
+        state["crashingRequests"][fingerprintText(input)] = {{"crashes", record.crashes.size()}, {"isRefused", isRefused(context.crashingRequests, input)}};
     }
     return state.dump(2);
 }
--- a/tests/relay_hot_entry_test.cpp
+++ b/tests/relay_hot_entry_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 using namespace Parsleytrail;
 using namespace Parsleytrail::Test;
 using StandIn::RawReply;
@@ -133,4 +135,49 @@
     checkWave(traffic);
 }
 
+/// Guards against an entry that reads more requests than it has processor time for, so that all that it serves is late.
+BOOST_AUTO_TEST_CASE(connectionsAreClosedUnreadWhileTheProcessIsOverloaded)
+{
+    RelaySystemOptions options;
+    options.relays = 1;
+    options.engines = 4;
+    options.engineOptions.events = 60;
+    RelaySystem system(options);
+    system.waitReady();
+    system.waitPlaced();
+    std::vector<RawCallPtr> open;
+    for (int i = 0; i < 5; ++i) { // as many as the slots of the first engine allow
+        open.push_back(system.stream("open-" + std::to_string(i)));
+    }
+    system.wait("streams", [&] {
+        return std::all_of(open.begin(), open.end(), [](const RawCallPtr &call) {
+            return !call->eventIds().empty();
+        });
+    });
+    // Other work on the loop takes most of the time.
+    Timer work(system.loop(), [] {
+        std::this_thread::sleep_for(milliseconds(70));
+    });
+    work.startRepeating(milliseconds(80));
+    system.idle(milliseconds(700));
+    const RawCallPtr late = system.stream("late");
+    system.wait("end of the connection", [&] {
+        return late->isClosed;
+    });
+    BOOST_TEST(late->received.empty());
+    work.stop();
+    system.wait("open streams", [&] {
+        return std::all_of(open.begin(), open.end(), [](const RawCallPtr &call) {
+            return call->hasCompleteResponse();
+        });
+    });
+    BOOST_TEST(countStatus(open, 200) == open.size());
+    system.idle(milliseconds(300));
+    const RawCallPtr afterwards = system.stream("afterwards");
+    system.wait("answer", [&] {
+        return afterwards->hasCompleteResponse() || afterwards->isClosed;
+    });
+    BOOST_TEST(afterwards->status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
