Rename: the guard of parsley-entry that shares crashes among entries is for calls and messages

CallGuard -> EntryCrashGuard callGuard -> crashGuard calls -> known messageGuard -> entryCrashGuard partGuard -> crashGuard call_guard.h, call_guard.cpp -> entry_crash_guard.h, entry_crash_guard.cpp

--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -63,7 +63,7 @@
     EntryContext &context;
     Streams &streams;
     const InputGuard &guard;
-    const CallGuard &partGuard;
+    const EntryCrashGuard &crashGuard;
     UsageRecorder &usageRecorder;
     AdmissionQueue admission;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
@@ -227,7 +227,7 @@
     stream.workspace = caller.workspace;
     stream.allowedInputs = service.allowInputs;
     const bool isQuarantined = guard.classify(stream.fingerprint, service.allowInputs) == InputStatus::Quarantined;
-    if (isQuarantined || partGuard.isRefused(inputsOf(stream), service.allowInputs)) {
+    if (isQuarantined || crashGuard.isRefused(inputsOf(stream), service.allowInputs)) {
         ++refused;
         usageRecorder.countRefused(owner);
         return replyCompletionError(exchange, quarantinedInputError(Outcome::NotRun), caller.publicId);
@@ -257,11 +257,11 @@
 
 // [SECTION] Completions
 
-Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard, const CallGuard &partGuard, UsageRecorder &usageRecorder)
+Completions::Completions(EntryContext &context, Streams &streams, const InputGuard &guard, const EntryCrashGuard &crashGuard, UsageRecorder &usageRecorder)
     : d(new Private{context,
                     streams,
                     guard,
-                    partGuard,
+                    crashGuard,
                     usageRecorder,
                     AdmissionQueue(context),
                     {},
--- a/src/entry/completions.h
+++ b/src/entry/completions.h
@@ -25,7 +25,7 @@
 class Completions
 {
 public:
-    Completions(EntryContext &context, Streams &streams, const InputGuard &guard, const CallGuard &partGuard, UsageRecorder &usageRecorder);
+    Completions(EntryContext &context, Streams &streams, const InputGuard &guard, const EntryCrashGuard &crashGuard, UsageRecorder &usageRecorder);
     ~Completions();
 
     /// POST /v1/chat/completions
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -35,7 +35,7 @@
     std::unique_ptr<Store> store;
     std::unique_ptr<Targets> targets;
     std::unique_ptr<InputGuard> guard;
-    std::unique_ptr<CallGuard> callGuard;
+    std::unique_ptr<EntryCrashGuard> crashGuard;
     std::unique_ptr<Streams> streams;
     std::unique_ptr<UsageRecorder> usageRecorder;
     std::unique_ptr<KeyedCalls> keys;
@@ -154,12 +154,12 @@
     store = std::make_unique<Store>(loop, clock, client, platformAddress, limits);
     targets = std::make_unique<Targets>(*context);
     guard = std::make_unique<InputGuard>(*context);
-    callGuard = std::make_unique<CallGuard>(*context);
-    streams = std::make_unique<Streams>(*context, *targets, *guard, *callGuard);
+    crashGuard = std::make_unique<EntryCrashGuard>(*context);
+    streams = std::make_unique<Streams>(*context, *targets, *guard, *crashGuard);
     usageRecorder = std::make_unique<UsageRecorder>(*context, *store);
     keys = std::make_unique<KeyedCalls>(*context, *store);
-    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *usageRecorder, *callGuard);
-    completions = std::make_unique<Completions>(*context, *streams, *guard, *callGuard, *usageRecorder);
+    calls = std::make_unique<ServiceCalls>(*context, *targets, *keys, *usageRecorder, *crashGuard);
+    completions = std::make_unique<Completions>(*context, *streams, *guard, *crashGuard, *usageRecorder);
     configurationManager = std::make_unique<ConfigurationManager>(*context, *store);
     datagrams = std::make_unique<DatagramSocket>(loop, static_cast<std::uint16_t>(settings.wireVersion), [this](const Frame &frame, const Address &from) {
         return handleDatagram(frame, from);
@@ -191,7 +191,7 @@
             links->link(peer)->send(notice);
         }
     });
-    callGuard->onNotices([this](const CrashNotices &notices) {
+    crashGuard->onNotices([this](const CrashNotices &notices) {
         if (settings.wireVersion < crashNoticesWireVersion) {
             return;
         }
@@ -260,7 +260,7 @@
         });
     case CrashNotices::messageId:
         return decodeAndHandle<CrashNotices>(frame, [&](const CrashNotices &message) {
-            callGuard->handleNotices(message);
+            crashGuard->handleNotices(message);
         });
     case StageUsage::messageId:
         return decodeAndHandle<StageUsage>(frame, [&](const StageUsage &usage) {
@@ -310,7 +310,7 @@
             link->send(notice);
         }
         const bool mayUnderstand = settings.wireVersion >= crashNoticesWireVersion;
-        for (const CrashNotices &notices : mayUnderstand ? callGuard->notices() : std::vector<CrashNotices>()) {
+        for (const CrashNotices &notices : mayUnderstand ? crashGuard->notices() : std::vector<CrashNotices>()) {
             link->send(notices);
         }
     }
@@ -364,7 +364,7 @@
     calls->tick();
     keys->flush();
     guard->prune();
-    callGuard->prune();
+    crashGuard->prune();
     usageRecorder->tick();
     completions->tick();
 }
@@ -442,7 +442,7 @@
     result["isReady"] = isReady();
     result["admission"] = json::parse(completions->describeAdmission());
     result["suspectInputs"] = guard->describe();
-    result["suspectCalls"] = callGuard->describe();
+    result["suspectCalls"] = crashGuard->describe();
     result["streams"] = streams->size();
     result["calls"] = calls->openCount();
     result["store"] = {{"isDown", store->isDown()}, {"reads", store->reads()}, {"writes", store->writes()}, {"unwrittenCallEnds", keys->unwritten()}};
--- a/src/entry/call_guard.cpp
+++ b/src/entry/entry_crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "entry/call_guard.h"
+#include "entry/entry_crash_guard.h"
 
 #include "base/log.h"
 #include "base/text.h"
@@ -10,56 +10,56 @@
 namespace Parsleytrail
 {
 
-struct CallGuard::Private {
+struct EntryCrashGuard::Private {
     EntryContext &context;
-    CrashingRequests calls{};
+    CrashingRequests known{};
     std::function<void(const CrashNotices &)> noticesHandler{};
 
     void announce(std::uint64_t fingerprint) const
     {
-        noticesHandler({noticesOf(calls, fingerprint, context.clock.now())});
+        noticesHandler({noticesOf(known, fingerprint, context.clock.now())});
     }
 };
 
-CallGuard::CallGuard(EntryContext &context)
+EntryCrashGuard::EntryCrashGuard(EntryContext &context)
     : d(new Private{context})
 {
 }
 
-CallGuard::~CallGuard() = default;
+EntryCrashGuard::~EntryCrashGuard() = default;
 
-void CallGuard::onNotices(std::function<void(const CrashNotices &)> handler)
+void EntryCrashGuard::onNotices(std::function<void(const CrashNotices &)> handler)
 {
     d->noticesHandler = std::move(handler);
 }
 
-bool CallGuard::isRefused(std::uint64_t fingerprint) const
+bool EntryCrashGuard::isRefused(std::uint64_t fingerprint) const
 {
-    return isQuarantined(d->calls, fingerprint);
+    return isQuarantined(d->known, fingerprint);
 }
 
-bool CallGuard::isRefused(const RequestInputs &inputs, const std::vector<std::string> &allowed) const
+bool EntryCrashGuard::isRefused(const RequestInputs &inputs, const std::vector<std::string> &allowed) const
 {
     // The input itself is judged by InputGuard, whose runs alone at an engine need fewer crashes.
-    const std::optional<std::uint64_t> found = findQuarantined(d->calls, inputs);
+    const std::optional<std::uint64_t> found = findQuarantined(d->known, inputs);
     return found && isPart(*found) && std::find(allowed.begin(), allowed.end(), fingerprintText(*found)) == allowed.end();
 }
 
-void CallGuard::recordCrash(std::uint64_t fingerprint, std::uint64_t crash, const ServiceName &service)
+void EntryCrashGuard::recordCrash(std::uint64_t fingerprint, std::uint64_t crash, const ServiceName &service)
 {
     const TimePoint now = d->context.clock.now();
-    const bool wasRefused = Parsleytrail::isRefused(d->calls, fingerprint);
-    if (!Parsleytrail::recordCrash(d->calls, fingerprint, crash, now, now)) {
+    const bool wasRefused = Parsleytrail::isRefused(d->known, fingerprint);
+    if (!Parsleytrail::recordCrash(d->known, fingerprint, crash, now, now)) {
         return;
     }
-    if (Parsleytrail::isRefused(d->calls, fingerprint) && !wasRefused) {
+    if (Parsleytrail::isRefused(d->known, fingerprint) && !wasRefused) {
         logEvent(Event::RequestQuarantined,
                  {{"input", fingerprintText(fingerprint)}, {"kind", isPart(fingerprint) ? "part" : "request"}, {"service", service.value}, {"source", "own"}});
     }
     d->announce(fingerprint);
 }
 
-void CallGuard::recordCrash(const RequestInputs &inputs, std::uint64_t crash, const ServiceName &service)
+void EntryCrashGuard::recordCrash(const RequestInputs &inputs, std::uint64_t crash, const ServiceName &service)
 {
     if (inputs.parts.empty()) {
         return;
@@ -69,58 +69,58 @@
     }
 }
 
-void CallGuard::recordSoundParts(const std::vector<std::uint64_t> &parts)
+void EntryCrashGuard::recordSoundParts(const std::vector<std::uint64_t> &parts)
 {
     for (const std::uint64_t part : parts) {
-        if (recordSoundPart(d->calls, part, d->context.clock.now())) {
+        if (recordSoundPart(d->known, part, d->context.clock.now())) {
             d->announce(part);
         }
     }
 }
 
-void CallGuard::recordCompletion(std::uint64_t fingerprint)
+void EntryCrashGuard::recordCompletion(std::uint64_t fingerprint)
 {
     const TimePoint now = d->context.clock.now();
-    if (Parsleytrail::recordCompletion(d->calls, fingerprint, now, now)) {
+    if (Parsleytrail::recordCompletion(d->known, fingerprint, now, now)) {
         d->announce(fingerprint);
     }
 }
 
-void CallGuard::handleNotices(const CrashNotices &message)
+void EntryCrashGuard::handleNotices(const CrashNotices &message)
 {
     const TimePoint now = d->context.clock.now();
     bool isNews = false;
     for (const CrashNotice &notice : message.notices) {
-        isNews = applyNotice(d->calls, notice, now) || isNews;
+        isNews = applyNotice(d->known, notice, now) || isNews;
     }
     if (isNews) {
         d->noticesHandler(message);
     }
 }
 
-std::vector<CrashNotices> CallGuard::notices() const
+std::vector<CrashNotices> EntryCrashGuard::notices() const
 {
     std::vector<CrashNotices> list;
-    for (const auto &[fingerprint, record] : d->calls.records) {
-        list.push_back({noticesOf(d->calls, fingerprint, d->context.clock.now())});
+    for (const auto &[fingerprint, record] : d->known.records) {
+        list.push_back({noticesOf(d->known, fingerprint, d->context.clock.now())});
     }
     return list;
 }
 
-nlohmann::json CallGuard::describe() const
+nlohmann::json EntryCrashGuard::describe() const
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const auto &[fingerprint, record] : d->calls.records) {
+    for (const auto &[fingerprint, record] : d->known.records) {
         list.push_back({{"fingerprint", fingerprintText(fingerprint)},
-                        {"standing", Parsleytrail::isRefused(d->calls, fingerprint) ? "refused" : "suspect"},
+                        {"standing", Parsleytrail::isRefused(d->known, fingerprint) ? "refused" : "suspect"},
                         {"crashes", record.crashes.size()}});
     }
     return list;
 }
 
-void CallGuard::prune()
+void EntryCrashGuard::prune()
 {
-    Parsleytrail::prune(d->calls, d->context.clock.now());
+    Parsleytrail::prune(d->known, d->context.clock.now());
 }
 
 } // namespace Parsleytrail
--- a/src/entry/call_guard.h
+++ b/src/entry/entry_crash_guard.h
@@ -15,11 +15,11 @@
 {
 
 /// What an entry knows of calls and messages that were open at crashes, and the notices that keep other entries up to date.
-class CallGuard
+class EntryCrashGuard
 {
 public:
-    explicit CallGuard(EntryContext &context);
-    ~CallGuard();
+    explicit EntryCrashGuard(EntryContext &context);
+    ~EntryCrashGuard();
 
     /// Called with each notice that must be sent to other entries.
     void onNotices(std::function<void(const CrashNotices &)> handler);
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -66,7 +66,7 @@
     Targets &targets;
     KeyedCalls &keys;
     UsageRecorder &usageRecorder;
-    CallGuard &guard;
+    EntryCrashGuard &guard;
     std::unordered_map<RequestId, OpenCall> calls;
     std::map<WorkspaceName, std::size_t> openByWorkspace;
     std::uint64_t &answered;
@@ -411,7 +411,7 @@
 
 // [SECTION] ServiceCalls
 
-ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, CallGuard &guard)
+ServiceCalls::ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, EntryCrashGuard &guard)
     : d(new Private{context,
                     targets,
                     keys,
--- a/src/entry/service_calls.h
+++ b/src/entry/service_calls.h
@@ -3,11 +3,11 @@
 //
 // A call is sent to a second target only while no part of a response has been received, and only if the first target certainly
 // did not run it, or if its method is idempotent and the configuration does not mark it as non-idempotent. A call that crashes
-// applications is refused at all entries; see entry/call_guard.h.
+// applications is refused at all entries; see entry/entry_crash_guard.h.
 #pragma once
 
-#include "entry/call_guard.h"
 #include "entry/completions.h"
+#include "entry/entry_crash_guard.h"
 #include "entry/keyed_calls.h"
 
 namespace Parsleytrail
@@ -17,7 +17,7 @@
 class ServiceCalls
 {
 public:
-    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, CallGuard &guard);
+    ServiceCalls(EntryContext &context, Targets &targets, KeyedCalls &keys, UsageRecorder &usageRecorder, EntryCrashGuard &guard);
     ~ServiceCalls();
 
     /// `service` is the name in the path; `path` is what follows it, with a leading slash.
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -69,7 +69,7 @@
     EntryContext &context;
     Targets &targets;
     InputGuard &guard;
-    CallGuard &partGuard;
+    EntryCrashGuard &crashGuard;
     std::unordered_map<RequestId, OpenStream> streams;
     std::map<ModelName, ModelTimes> timesByModel;
     TimePoint refilledAt{};
@@ -81,11 +81,11 @@
     TimeHistogram &betweenTokens;
     TimeHistogram &recovery;
 
-    Private(EntryContext &entryContext, Targets &entryTargets, InputGuard &inputGuard, CallGuard &messageGuard)
+    Private(EntryContext &entryContext, Targets &entryTargets, InputGuard &inputGuard, EntryCrashGuard &entryCrashGuard)
         : context(entryContext)
         , targets(entryTargets)
         , guard(inputGuard)
-        , partGuard(messageGuard)
+        , crashGuard(entryCrashGuard)
         , suspectTimer(context.loop,
                        [this] {
                            retryWaiting();
@@ -218,7 +218,7 @@
         return fail(stream, error);
     }
     const bool isQuarantined = guard.classify(stream.request.fingerprint, stream.request.allowedInputs) == InputStatus::Quarantined;
-    if (stream.isSuspect && (isQuarantined || partGuard.isRefused(inputsOf(stream.request), stream.request.allowedInputs))) {
+    if (stream.isSuspect && (isQuarantined || crashGuard.isRefused(inputsOf(stream.request), stream.request.allowedInputs))) {
         return refuseQuarantined(stream, error);
     }
     const bool hasChain = !stream.chain.empty() || selectStages(stream);
@@ -353,7 +353,7 @@
     }
     stream->emitted.push_back(frame.token);
     if (stream->emitted.size() == tokensOfSoundRun || frame.finish != FinishReason::None) {
-        partGuard.recordSoundParts(stream->request.parts);
+        crashGuard.recordSoundParts(stream->request.parts);
     }
     stream->lastProgressAt = now;
     stream->inconclusiveQueries = 0;
@@ -387,7 +387,7 @@
     }
     guard.recordEngineCrash(request.fingerprint, frame.crash, request.service, request.workspace, request.id);
     if (stream.emitted.size() <= maxTokensOfSuspect) {
-        partGuard.recordCrash(inputsOf(request), frame.crash, request.service);
+        crashGuard.recordCrash(inputsOf(request), frame.crash, request.service);
     }
     stream.isSuspect = true;
     stream.retryNotBefore = context.clock.now() + suspectRetryDelay;
@@ -395,7 +395,7 @@
         suspectTimer.start(suspectRetryDelay + milliseconds(1));
     }
     const bool isQuarantined = guard.classify(request.fingerprint, request.allowedInputs) == InputStatus::Quarantined;
-    if (!isQuarantined && !partGuard.isRefused(inputsOf(request), request.allowedInputs)) {
+    if (!isQuarantined && !crashGuard.isRefused(inputsOf(request), request.allowedInputs)) {
         return true;
     }
     if (frame.stageIndex < stream.chain.size()) {
@@ -538,8 +538,8 @@
     return {request.fingerprint & ~partBit, request.parts};
 }
 
-Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard, CallGuard &partGuard)
-    : d(std::make_unique<Private>(context, targets, guard, partGuard))
+Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard, EntryCrashGuard &crashGuard)
+    : d(std::make_unique<Private>(context, targets, guard, crashGuard))
 {
 }
 
--- a/src/entry/streams.h
+++ b/src/entry/streams.h
@@ -5,7 +5,7 @@
 // results again.
 #pragma once
 
-#include "entry/call_guard.h"
+#include "entry/entry_crash_guard.h"
 #include "entry/input_guard.h"
 #include "entry/targets.h"
 #include "policy/chain.h"
@@ -52,7 +52,7 @@
 class Streams
 {
 public:
-    Streams(EntryContext &context, Targets &targets, InputGuard &guard, CallGuard &partGuard);
+    Streams(EntryContext &context, Targets &targets, InputGuard &guard, EntryCrashGuard &crashGuard);
     ~Streams();
 
     /// Opens a stream. Callbacks are called later, never from within this call.
