Fingerprints of requests and of parts are made in one place

Calls of parsley-entry kept the highest bit of their hash, which marks parts of prompts since they are known: half of them were listed as parts.

--- a/src/entry/completions.cpp
+++ b/src/entry/completions.cpp
@@ -221,7 +221,7 @@
     const std::uint64_t serviceHash = hash64(request.service);
     stream.fingerprint = hash64(request.prompt, serviceHash);
     for (const std::string &message : request.sharedMessages) {
-        stream.parts.push_back(hash64(message, serviceHash) | partBit);
+        stream.parts.push_back(partFingerprint(hash64(message, serviceHash)));
     }
     stream.service.value = request.service;
     stream.workspace = caller.workspace;
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -464,7 +464,7 @@
     const std::string key = findHeader(request.headers, "Idempotency-Key");
     call.isNonIdempotent = !key.empty() || isNonIdempotent(section->second, request.method, path);
     call.mayRetry = !call.isNonIdempotent && isIdempotentMethod(request.method);
-    call.fingerprint = callFingerprint(call, request);
+    call.fingerprint = requestFingerprint(callFingerprint(call, request));
     if (d->guard.isRefused(call.fingerprint)) {
         ++d->quarantined;
         return refuse({422, "", "this call was open at three separate crashes of applications and is refused for an hour", Outcome::NotRun});
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -535,7 +535,7 @@
 
 RequestInputs inputsOf(const StreamRequest &request)
 {
-    return {request.fingerprint & ~partBit, request.parts};
+    return {requestFingerprint(request.fingerprint), request.parts};
 }
 
 Streams::Streams(EntryContext &context, Targets &targets, InputGuard &guard, EntryCrashGuard &crashGuard)
--- a/src/policy/crashing_requests.cpp
+++ b/src/policy/crashing_requests.cpp
@@ -13,11 +13,14 @@
     return std::max<std::uint64_t>(hash64(target.value, startedAtMs), 1);
 }
 
-std::vector<std::uint64_t> allOf(const RequestInputs &inputs)
+std::uint64_t requestFingerprint(std::uint64_t hash)
 {
-    std::vector<std::uint64_t> all = {inputs.request};
-    all.insert(all.end(), inputs.parts.begin(), inputs.parts.end());
-    return all;
+    return hash & ~partBit;
+}
+
+std::uint64_t partFingerprint(std::uint64_t hash)
+{
+    return hash | partBit;
 }
 
 bool isPart(std::uint64_t input)
@@ -25,6 +28,13 @@
     return (input & partBit) != 0;
 }
 
+std::vector<std::uint64_t> allOf(const RequestInputs &inputs)
+{
+    std::vector<std::uint64_t> all = {inputs.request};
+    all.insert(all.end(), inputs.parts.begin(), inputs.parts.end());
+    return all;
+}
+
 /// Whether the crash is known, for one of the inputs, from before `time`.
 static bool isKnownFromBefore(const CrashingRequests &table, const std::vector<std::uint64_t> &inputs, std::uint64_t crash, TimePoint time)
 {
--- a/src/policy/crashing_requests.h
+++ b/src/policy/crashing_requests.h
@@ -67,9 +67,12 @@
 /// Identifier of the crash of one start of a target, the same at all entries.
 std::uint64_t crashOf(const TargetId &target, std::uint64_t startedAtMs);
 
+/// Fingerprint of a whole request, and of a part, from a hash of it.
+std::uint64_t requestFingerprint(std::uint64_t hash);
+std::uint64_t partFingerprint(std::uint64_t hash);
+bool isPart(std::uint64_t input);
 /// All fingerprints of a request: its own and those of the shared parts of its prompt.
 std::vector<std::uint64_t> allOf(const RequestInputs &inputs);
-bool isPart(std::uint64_t input);
 
 /// Identifier of the crash that ended a run of these inputs, which was sent at `sentAt` to the target that the registry says was started
 /// at `startedAtMs`. The registry may not show a restart yet: a crash that is known from before `sentAt` ended an earlier start.
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -62,7 +62,7 @@
     RelayMetrics metrics{};
     double averageEventGapMs = 50;       ///< moving average of the time between two events of a stream, in milliseconds
     DelayEstimate firstEventDelay{};     ///< from sending a request to the first event, of streams that began here
-    CrashingRequests crashingRequests{}; ///< requests that were open at crashes of targets
+    CrashingRequests crashingRequests{}; ///< requests, and parts of prompts, that were open at crashes of targets
     EntryCount entryCount{};             ///< number of entries that share budgets
     bool hasRetryShare = false;          ///< this entry was granted its full share of the retry budgets
 };
--- a/src/relay/request_inputs.cpp
+++ b/src/relay/request_inputs.cpp
@@ -16,7 +16,7 @@
          {std::string_view(request.workspace.value), head.find("Host"), std::string_view(head.target), std::string_view(head.method)}) {
         hash = hash64(part, hash);
     }
-    return hash & ~partBit;
+    return requestFingerprint(hash);
 }
 
 std::string inputText(const ForwardedRequest &request)
@@ -36,7 +36,7 @@
     const std::uint64_t model = hash64(head.find(names.model));
     std::vector<std::uint64_t> fingerprints;
     for (const std::string &id : ids) {
-        fingerprints.push_back(hash64(id, model) | partBit);
+        fingerprints.push_back(partFingerprint(hash64(id, model)));
     }
     return fingerprints;
 }
