--- a/src/relay/request_inputs.cpp
+++ b/src/relay/request_inputs.cpp
@@ -35,6 +35,7 @@
     ids.resize(std::min(ids.size(), maxSharedParts));
     const std::uint64_t model = hash64(head.find(names.model));
     std::vector<std::uint64_t> fingerprints;
+    fingerprints.reserve(ids.size());
     for (const std::string &id : ids) {
         fingerprints.push_back(partFingerprint(hash64(id, model)));
     }
@@ -44,6 +45,7 @@
 std::string fingerprintsText(const std::vector<std::uint64_t> &fingerprints)
 {
     std::vector<std::string> texts;
+    texts.reserve(fingerprints.size());
     for (const std::uint64_t fingerprint : fingerprints) {
         texts.push_back(fingerprintText(fingerprint));
     }
--- a/tests/relay_hot_entry_test.cpp
+++ b/tests/relay_hot_entry_test.cpp
@@ -146,6 +146,7 @@
     system.waitReady();
     system.waitPlaced();
     std::vector<RawCallPtr> open;
+    open.reserve(5);
     for (int i = 0; i < 5; ++i) { // as many as the slots of the first engine allow
         open.push_back(system.stream("open-" + std::to_string(i)));
     }
