--- a/src/entry/entry_crash_guard.h
+++ b/src/entry/entry_crash_guard.h
@@ -1,5 +1,5 @@
 // Refuses calls that crash applications, and completions with a message that crashes engines. Entries exchange what they observe, so
-// that all of them refuse the same ones.
+// that all of them refuse the same calls and completions.
 #pragma once
 
 #include "entry/context.h"
--- a/src/policy/crashing_requests.cpp
+++ b/src/policy/crashing_requests.cpp
@@ -35,7 +35,7 @@
     return all;
 }
 
-/// Whether the crash is known, for one of the inputs, from before `time`.
+/// Whether one of the inputs has a record of the crash that says it happened before `time`.
 static bool isKnownFromBefore(const CrashingRequests &table, const std::vector<std::uint64_t> &inputs, std::uint64_t crash, TimePoint time)
 {
     return std::any_of(inputs.begin(), inputs.end(), [&](std::uint64_t input) {
--- a/src/policy/crashing_requests.h
+++ b/src/policy/crashing_requests.h
@@ -44,7 +44,7 @@
 constexpr std::size_t maxTurnNotices = 24;   ///< in one message: two inputs or more
 constexpr std::uint64_t messagesPerTurn = 8; ///< one in so many messages carries notices that are no news
 
-/// What a run may be the cause of a crash by.
+/// Fingerprints of a request, each of which may identify the cause of a crash.
 struct RequestInputs {
     std::uint64_t request = 0;        ///< fingerprint of the whole request
     std::vector<std::uint64_t> parts; ///< fingerprints of the parts of its prompt that other requests may share
@@ -84,8 +84,9 @@
 /// Records that a target ran the input well until `at`. Returns whether crashes of it were known, which are dropped.
 bool recordCompletion(CrashingRequests &table, std::uint64_t input, TimePoint at, TimePoint now);
 
-/// Records that a target ran a part of a prompt well until `at`. A crash soon after is no sign against a part that many requests share:
-/// many of them are open at any crash. Returns as recordCompletion() does.
+/// Records that a target ran a request with this part of a prompt without a crash until `at`. Crashes up to noticeDelay later don't count
+/// for the part: requests with a part that many share are open at almost any crash. Returns whether crashes of the part were known, which
+/// are dropped.
 bool recordSoundPart(CrashingRequests &table, std::uint64_t part, TimePoint at);
 
 /// Number of crashes at which the input was open and that no other input explains.
--- a/src/policy/overload.h
+++ b/src/policy/overload.h
@@ -26,7 +26,7 @@
 constexpr std::chrono::seconds limitMemory{10}; ///< how long the limit holds after the last overload
 constexpr int minOpenLimit = 4;                 ///< a process that accepted nothing would not learn that it can serve again
 
-/// What a process knows of its own load.
+/// Load of a process, and the limit that follows from it.
 struct OverloadGuard {
     double averageLagMs = 0;  ///< moving average of the lag of timers
     double openLimit = 0;     ///< most open requests with which connections are accepted; zero: no limit
@@ -36,7 +36,7 @@
 
 /// Records that a timer fired `lag` after its time, while `openRequests` were open.
 void recordTimerLag(OverloadGuard &guard, milliseconds lag, int openRequests, TimePoint now);
-/// Whether a new connection is to be served.
+/// Whether a new connection is accepted; otherwise it is to be closed before anything is read from it.
 bool acceptsConnection(const OverloadGuard &guard, int openRequests);
 
 } // namespace Parsleytrail
--- a/src/relay/crash_guard.cpp
+++ b/src/relay/crash_guard.cpp
@@ -87,7 +87,7 @@
     }
 }
 
-/// Whether crashes of the input were stored, so that its completion has to be stored too.
+/// Whether the store may hold crashes of the input. They stay there until a completion is stored too.
 bool CrashGuard::Private::isStored(std::uint64_t input) const
 {
     const auto found = context.crashingRequests.records.find(input);
--- a/src/relay/crash_guard.h
+++ b/src/relay/crash_guard.h
@@ -1,5 +1,5 @@
-// Keeps requests that crash targets, and those with a part in their prompts that does, from running again, at this entry and, by what it tells the others, at
-// all entries.
+// Refuses requests that crash targets, and requests whose prompt has a part that crashes engines. Entries tell each other what they
+// observe, so that all of them refuse the same requests.
 //
 // What entries observe travels as notices in datagrams beside the load exchange. What is known of a request that was open at two crashes
 // is also kept in the platform's store, for entries that start while no other runs, or that no other reaches.
--- a/src/relay/crash_store.cpp
+++ b/src/relay/crash_store.cpp
@@ -152,7 +152,8 @@
                error);
 }
 
-/// Decodes "input crash storeTimeMs". The age is that at `storeTimeMs`.
+/// Decodes a row: the fingerprint, the crash and the time of the store's clock at which it happened, in milliseconds, separated by spaces. The
+/// age of the notice is counted up to `storeTimeMs`.
 static bool decodeNotice(const Row &row, std::int64_t storeTimeMs, CrashNotice &notice)
 {
     const std::vector<std::string> words = splitList(row.value, ' ');
--- a/src/relay/request_inputs.h
+++ b/src/relay/request_inputs.h
@@ -1,4 +1,4 @@
-// What identifies a request as the possible cause of a crash: the whole of it, and the parts of its prompt that others may share.
+// Fingerprints by which crashes of targets are attributed: of a whole request, and of the parts of its prompt that other requests may share.
 #pragma once
 
 #include "relay/forwarding.h"
