Failing tests: a part of prompts that ran well before is refused for crashes of another one

What callers see: a part of prompts crashes engine after engine and is refused after three crashes. One more engine crashes for another reason, while a request with the same first part is open there and nothing has run for two seconds, as is usual after the loss of three engines. From then on each request with that first part is refused for an hour, as are most of a language assistant's; requests with the part that does crash engines are sent on again if their first part is another one.

--- a/tests/crashing_requests_test.cpp
+++ b/tests/crashing_requests_test.cpp
@@ -242,6 +242,51 @@
     BOOST_TEST(!isRefusedWith(seesNone, {sharedPart}));
 }
 
+/// Guards against refusing all requests with a part that most share, and none of those with the cause, after one more crash for another reason.
+BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsNotRefusedForACrashBesideThoseOfTheCause, *boost::unit_test::label("known_red"))
+{
+    CrashingRequests seesRuns;
+    CrashingRequests seesNone;
+    recordSoundPart(seesRuns, sharedPart, start - std::chrono::seconds(5));
+    for (const std::uint64_t id : {1, 2, 3}) {
+        crashWith(seesRuns, 10 + id, {sharedPart, badPart}, id);
+    }
+    crashWith(seesRuns, 14, {sharedPart}, 4);
+    // Twice: an entry takes no notice of sound runs of a part that it has not heard of any crash of.
+    passAll(seesRuns, seesNone, start + milliseconds(50));
+    passAll(seesRuns, seesNone, start + milliseconds(100));
+    for (const CrashingRequests &table : {seesRuns, seesNone}) {
+        BOOST_TEST(!isRefusedWith(table, {sharedPart}));
+        BOOST_TEST(isRefusedWith(table, {sharedPart, badPart}));
+        BOOST_TEST(isRefusedWith(table, {badPart}));
+    }
+}
+
+/// Guards against sending on the cause with other parts for as long as a part that ran well before was open at the same crashes.
+BOOST_AUTO_TEST_CASE(aPartIsRefusedByItselfIfThoseOpenBesideItRanWellBefore, *boost::unit_test::label("known_red"))
+{
+    CrashingRequests table;
+    recordSoundPart(table, sharedPart, start - std::chrono::seconds(5));
+    for (const std::uint64_t id : {1, 2, 3}) {
+        crashWith(table, 10 + id, {sharedPart, badPart}, id);
+    }
+    BOOST_TEST(isRefusedWith(table, {badPart}));
+    BOOST_TEST(!isRefusedWith(table, {sharedPart}));
+}
+
+/// Guards against refusing requests for a part that ran well before after fewer crashes than a coincidence may bring while nothing is served.
+BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsRefusedAfterFiveCrashes, *boost::unit_test::label("known_red"))
+{
+    CrashingRequests table;
+    recordSoundPart(table, sharedPart, start - std::chrono::seconds(5));
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        crashWith(table, 10 + id, {sharedPart}, id);
+        BOOST_TEST(!isRefusedWith(table, {sharedPart}));
+    }
+    crashWith(table, 15, {sharedPart}, 5);
+    BOOST_TEST(isRefusedWith(table, {sharedPart}));
+}
+
 BOOST_AUTO_TEST_CASE(knownSoundPartsAreBounded)
 {
     CrashingRequests table;
--- a/tests/relay_prompt_part_test.cpp
+++ b/tests/relay_prompt_part_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace Parsleytrail;
 using namespace Parsleytrail::Test;
@@ -18,6 +19,38 @@
 constexpr std::size_t soundRequestsBefore = 50; ///< a second of traffic without the part
 constexpr milliseconds downTime{600};           ///< until a crashed engine is started again
 
+/// Without a run for so long, a relay does not rule out any more that an engine crashes because of a part that ran well.
+constexpr milliseconds noRunTime{2500};
+
+/// Sends a request whose prompt has the shared parts and a last one of its own.
+RawCallPtr sendPrompt(RelaySystem &system, const std::string &sharedParts, int number, std::size_t relay)
+{
+    const std::string text = std::to_string(number);
+    const std::string fields = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: " + sharedParts + ",own" + text + ":60\r\n";
+    return system.send(system.request("POST", "/chat/x", "p-" + text, "question " + text, fields), relay);
+}
+
+/// Crashes the engine that a request with these parts is sent to, as soon as it has it.
+void crashEngineOf(RelaySystem &system, const std::string &sharedParts, int number)
+{
+    std::map<std::string, std::size_t> before;
+    for (const std::string &id : system.engineIds()) {
+        before[id] = system.engines().streamStarts(id).size();
+    }
+    const RawCallPtr call = sendPrompt(system, sharedParts, number, 0);
+    std::string first;
+    system.wait("arrival", [&] {
+        for (const auto &[id, starts] : before) {
+            first = system.engines().streamStarts(id).size() > starts ? id : first;
+        }
+        return !first.empty();
+    });
+    system.engines().crash(first);
+    system.wait("end", [&] {
+        return call->hasCompleteResponse() || call->isClosed;
+    });
+}
+
 /// What requests with the part share beside it.
 enum class SharedParts {
     None, ///< each has another first part, as some sound requests do
@@ -107,9 +140,7 @@
     }
     RawCallPtr send(const std::string &sharedParts, std::size_t relay)
     {
-        const std::string number = std::to_string(++m_requests);
-        const std::string fields = "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: " + sharedParts + ",own" + number + ":60\r\n";
-        return m_system.send(m_system.request("POST", "/chat/x", "p-" + number, "question " + number, fields), relay);
+        return sendPrompt(m_system, sharedParts, ++m_requests, relay);
     }
     TimePoint lastCountedCrash() const
     {
@@ -148,6 +179,47 @@
     BOOST_TEST(traffic.servedShareAfterwards() >= 0.9);
 }
 
+/// Guards against refusing all requests with a first part that most share after one more engine crashed, for another reason.
+BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterACrashBesideThoseOfThePart, *boost::unit_test::label("known_red"))
+{
+    RelaySystem system(options());
+    system.waitReady();
+    system.waitPlaced();
+    system.superviseEngines(downTime);
+    system.engines().crashOnPromptPart("bad");
+    int requests = 0;
+    const auto run = [&](const std::string &parts, std::size_t relay) {
+        const RawCallPtr call = sendPrompt(system, parts, ++requests, relay);
+        system.wait("end", [&] {
+            return call->hasCompleteResponse() || call->isClosed;
+        });
+        return call->status();
+    };
+    for (std::size_t relay = 0; relay < 3; ++relay) {
+        BOOST_TEST_REQUIRE(run("f0:40", relay) == 200);
+    }
+    system.idle(noRunTime);
+    for (std::size_t i = 0; system.engines().crashesByPromptPart().size() < 3 && i < 10; ++i) {
+        run("f0:40,bad:200", i % 3);
+        system.idle(downTime + milliseconds(300));
+    }
+    BOOST_TEST_REQUIRE(system.engines().crashesByPromptPart().size() >= 3);
+    system.waitPlaced();
+    crashEngineOf(system, "f0:40", ++requests);
+    system.idle(downTime + milliseconds(300));
+    system.waitPlaced();
+    int served = 0;
+    for (std::size_t i = 0; i < 12; ++i) {
+        served += run("f0:40", i % 3) == 200 ? 1 : 0;
+    }
+    BOOST_TEST(served == 12);
+    const std::size_t arrivals = system.engines().arrivalsOfCrashingPart().size();
+    for (std::size_t i = 0; i < 6; ++i) {
+        run("f" + std::to_string(i) + ":40,bad:200", i % 3);
+    }
+    BOOST_TEST(system.engines().arrivalsOfCrashingPart().size() == arrivals);
+}
+
 /// Guards against forgetting such parts when all relays restart at once.
 BOOST_AUTO_TEST_CASE(partsThatCrashEnginesStayRefusedAfterARestartOfAllRelays)
 {
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -227,6 +227,15 @@
     d->timers.back()->startRepeating(heartbeatInterval);
 }
 
+std::vector<std::string> RelaySystem::engineIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, address] : d->engineAddresses) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
 void RelaySystem::writeEngineEntries(milliseconds downTime)
 {
     const TimePoint now = d->clock.now();
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -70,6 +70,8 @@
     /// From now on engines write their registry entries again and again, and one that crashed is replaced after `downTime` by an empty one
     /// with another id, as a supervisor would start it.
     void superviseEngines(milliseconds downTime);
+    /// Ids of all engines that are registered.
+    std::vector<std::string> engineIds() const;
     /// Writes a configuration; `keys` are the API keys of the workspace "studio".
     void configure(int version, const std::vector<std::string> &keys = {"key-1"});
     /// Whether a relay reports that it accepts connections.
