Fix: a part of prompts that ran well before was refused for crashes of another one

Each request with a first part that most share was refused for an hour, once one more engine crashed for another reason than the part that had crashed three.

Cause: an input with more crashes explained those of others, whatever else was known of it. A part that most requests share is open at each crash, so that it has more of them than the cause as soon as there is a crash that the cause has nothing to do with. That it had run well was looked at for two seconds before each crash only; while most engines are lost, nothing runs for longer than that.

Now a part that ran well within ten minutes before its crashes gives way to one that did not, and is refused after five crashes instead of three: five and the contact time are what the platform allows. Entries tell each other such runs with the crashes, the run last and in the same message, as one that knows no crash of an input ignores its runs.

Evidence: four tests failed before (0 of 12 sound requests served, 1 request with the part sent on; seven checks of the table), and pass; the other tests of crashing requests and of prompt parts pass unchanged.

Why it is enough: a part that crashes each engine that runs it has no good run after it began to, so nothing that did can be blamed before it; one that ran well and crashes engines later is still refused, at the fifth crash.

--- a/src/policy/crashing_requests.cpp
+++ b/src/policy/crashing_requests.cpp
@@ -86,6 +86,19 @@
     return record.completedAt != TimePoint() && at <= record.completedAt + noticeDelay;
 }
 
+/// Whether the input ran well not long before its crashes. Crashes up to noticeDelay after the run are not in its record.
+static bool ranWellBefore(const CrashRecord &record)
+{
+    return record.completedAt != TimePoint() && std::all_of(record.crashes.begin(), record.crashes.end(), [&](const auto &crash) {
+               return crash.second <= record.completedAt + soundRunMemory;
+           });
+}
+
+static std::size_t crashesNeeded(const CrashRecord &record)
+{
+    return ranWellBefore(record) ? crashesUntilSoundRefusal : crashesUntilRefusal;
+}
+
 static TimePoint expiryOf(const CrashRecord &record)
 {
     if (record.crashes.empty()) {
@@ -95,15 +108,15 @@
     for (const auto &[crash, at] : record.crashes) {
         last = std::max(last, at);
     }
-    const bool isHeld = record.crashes.size() >= crashesUntilRefusal;
+    const bool isHeld = record.crashes.size() >= crashesNeeded(record);
     return last + (isHeld ? std::chrono::duration_cast<milliseconds>(quarantineTime) : std::chrono::duration_cast<milliseconds>(suspicionTime));
 }
 
-/// If this entry saw the part run well shortly before `at`, notes that in its record, from which other entries are told.
+/// If this entry saw the part run well before `at`, notes that in its record, from which other entries are told.
 static void noteSoundRun(CrashingRequests &table, std::uint64_t input, TimePoint at, TimePoint now)
 {
     const auto sound = table.soundParts.find(input);
-    if (sound == table.soundParts.end() || at > sound->second + noticeDelay) {
+    if (sound == table.soundParts.end() || at > sound->second + soundRunMemory) {
         return;
     }
     CrashRecord &record = recordFor(table, input);
@@ -158,11 +171,21 @@
     return recordCompletion(table, part, at, at);
 }
 
-/// Whether another input explains a crash: it was open there too, and at more crashes than `record`.
+/// Whether `other` is the likelier cause of a crash at which both were open.
+static bool isLikelierCause(const CrashRecord &other, const CrashRecord &record)
+{
+    const bool otherRanWell = ranWellBefore(other);
+    if (otherRanWell != ranWellBefore(record)) {
+        return !otherRanWell && other.crashes.size() >= crashesUntilRefusal;
+    }
+    return other.crashes.size() > record.crashes.size();
+}
+
+/// Whether another input explains a crash: it was open there too, and is the likelier cause.
 static bool isExplained(const CrashingRequests &table, const CrashRecord &record, std::uint64_t crash)
 {
     return std::any_of(table.records.begin(), table.records.end(), [&](const auto &other) {
-        return other.second.crashes.size() > record.crashes.size() && other.second.crashes.contains(crash);
+        return other.second.crashes.contains(crash) && isLikelierCause(other.second, record);
     });
 }
 
@@ -186,8 +209,11 @@
 bool isQuarantined(const CrashingRequests &table, std::uint64_t input)
 {
     const auto found = table.records.find(input);
-    const bool hasCrashes = found != table.records.end() && found->second.crashes.size() >= crashesUntilRefusal;
-    return hasCrashes && countUnexplainedCrashes(table, input) >= crashesUntilRefusal;
+    if (found == table.records.end()) {
+        return false;
+    }
+    const std::size_t needed = crashesNeeded(found->second);
+    return found->second.crashes.size() >= needed && countUnexplainedCrashes(table, input) >= needed;
 }
 
 static bool haveSameCrashes(const CrashRecord &a, const CrashRecord &b)
@@ -205,7 +231,8 @@
     const CrashRecord &record = table.records.at(part);
     std::vector<std::uint64_t> parts;
     for (const auto &[input, other] : table.records) {
-        if (!haveSameCrashes(record, other)) {
+        const bool isLessLikely = ranWellBefore(other) && !ranWellBefore(record);
+        if (!haveSameCrashes(record, other) || isLessLikely) {
             continue;
         }
         if (!isPart(input)) {
@@ -258,14 +285,15 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - at).count(), 0));
 }
 
+/// Appends notices of an input. That of its last good run comes last: an entry that knows no crash of the input ignores it.
 static void appendNotices(std::vector<CrashNotice> &notices, std::uint64_t input, const CrashRecord &record, TimePoint now)
 {
-    if (record.completedAt != TimePoint()) {
-        notices.push_back({input, 0, ageAt(record.completedAt, now)});
-    }
     for (const auto &[crash, at] : record.crashes) {
         notices.push_back({input, crash, ageAt(at, now)});
     }
+    if (record.completedAt != TimePoint()) {
+        notices.push_back({input, 0, ageAt(record.completedAt, now)});
+    }
 }
 
 std::vector<CrashNotice> noticesOf(const CrashingRequests &table, std::uint64_t input, TimePoint now)
@@ -287,10 +315,14 @@
     }
     std::sort(news.rbegin(), news.rend());
     std::vector<CrashNotice> notices;
-    for (std::size_t i = 0; i < news.size() && notices.size() < maxNewsNotices; ++i) {
-        appendNotices(notices, news[i].second, table.records.at(news[i].second), now);
+    for (const auto &[updatedAt, input] : news) {
+        const std::size_t before = notices.size();
+        appendNotices(notices, input, table.records.at(input), now);
+        if (notices.size() > maxNewsNotices) {
+            notices.resize(before); // crashes without the run that went well before them would mislead the receiver
+            break;
+        }
     }
-    notices.resize(std::min(notices.size(), maxNewsNotices));
     return notices;
 }
 
--- a/src/policy/crashing_requests.h
+++ b/src/policy/crashing_requests.h
@@ -12,6 +12,9 @@
 // An input that only was beside the cause is not held responsible: a crash counts for it only until another input that was open
 // there has more crashes, and a run that goes well clears it.
 //
+// The cause has not run well, whereas most parts of prompts that are open beside it have: a part that ran well before its crashes gives
+// way to one that did not, however many crashes it has, and takes more of them to be refused.
+//
 // Parts that were open at just the same crashes can't be told apart. Requests are refused that hold all of them; one that holds only
 // some may run, and its run shows which of them is the cause.
 //
@@ -29,12 +32,15 @@
 namespace Parsleytrail
 {
 
-constexpr std::uint64_t partBit = 1ULL << 63;      ///< set in fingerprints of parts of prompts, and clear in those of requests
-constexpr std::size_t crashesUntilRefusal = 3;     ///< two may be a coincidence where targets crash in turn
+constexpr std::uint64_t partBit = 1ULL << 63;  ///< set in fingerprints of parts of prompts, and clear in those of requests
+constexpr std::size_t crashesUntilRefusal = 3; ///< two may be a coincidence where targets crash in turn
+/// The same for an input that ran well before: most requests may hold it, so that it is open whenever several targets crash in turn.
+constexpr std::size_t crashesUntilSoundRefusal = 5;
 constexpr std::size_t maxCrashRecords = 512;       ///< beyond it, the oldest of the inputs with the fewest crashes is dropped
 constexpr std::size_t maxSoundParts = 256;         ///< beyond it, the one that was used least recently is dropped
 constexpr std::size_t maxCrashesOfRecord = 8;      ///< further crashes change nothing
 constexpr std::chrono::minutes suspicionTime{10};  ///< how long a crash counts for an input that is not quarantined
+constexpr std::chrono::minutes soundRunMemory{10}; ///< how long before its crashes an input may have run well to count as sound before
 constexpr std::chrono::hours quarantineTime{1};    ///< how long a quarantined input is refused after its last crash
 constexpr std::chrono::seconds completionTime{30}; ///< how long a completion is remembered, against older notices of crashes
 constexpr std::chrono::seconds noticeDelay{2};     ///< by how much an observation may seem too recent after its way through several entries
@@ -53,7 +59,7 @@
 /// What is known of one input.
 struct CrashRecord {
     std::map<std::uint64_t, TimePoint> crashes; ///< crashes at which it was open, and when each happened
-    TimePoint completedAt{};                    ///< when a target last ran it well; zero: not known
+    TimePoint completedAt{};                    ///< when a target last ran it well, before its crashes; zero: not known
     TimePoint updatedAt{};                      ///< when something new was learned of it
 };
 
@@ -93,10 +99,11 @@
 std::size_t countUnexplainedCrashes(const CrashingRequests &table, std::uint64_t input);
 /// Whether the request was open at a crash that no other input explains. It should not run beside another such request.
 bool isSuspect(const CrashingRequests &table, std::uint64_t request);
-/// Whether the input was open at crashesUntilRefusal such crashes.
+/// Whether the input was open at crashesUntilRefusal such crashes, or crashesUntilSoundRefusal if it ran well before.
 bool isQuarantined(const CrashingRequests &table, std::uint64_t input);
 /// The parts that requests must hold, all of them, to be refused for this one; empty if none is to be refused for it. Parts are not
-/// held responsible for crashes as long as one whole request was open at all of them.
+/// held responsible for crashes as long as one whole request was open at all of them, nor those that ran well before beside one that
+/// did not.
 std::vector<std::uint64_t> refusedTogetherWith(const CrashingRequests &table, std::uint64_t part);
 /// Whether requests are refused for the input: for a part, those that hold all of refusedTogetherWith().
 bool isRefused(const CrashingRequests &table, std::uint64_t input);
--- a/tests/crashing_requests_test.cpp
+++ b/tests/crashing_requests_test.cpp
@@ -243,7 +243,7 @@
 }
 
 /// Guards against refusing all requests with a part that most share, and none of those with the cause, after one more crash for another reason.
-BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsNotRefusedForACrashBesideThoseOfTheCause, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsNotRefusedForACrashBesideThoseOfTheCause)
 {
     CrashingRequests seesRuns;
     CrashingRequests seesNone;
@@ -252,9 +252,7 @@
         crashWith(seesRuns, 10 + id, {sharedPart, badPart}, id);
     }
     crashWith(seesRuns, 14, {sharedPart}, 4);
-    // Twice: an entry takes no notice of sound runs of a part that it has not heard of any crash of.
     passAll(seesRuns, seesNone, start + milliseconds(50));
-    passAll(seesRuns, seesNone, start + milliseconds(100));
     for (const CrashingRequests &table : {seesRuns, seesNone}) {
         BOOST_TEST(!isRefusedWith(table, {sharedPart}));
         BOOST_TEST(isRefusedWith(table, {sharedPart, badPart}));
@@ -263,7 +261,7 @@
 }
 
 /// Guards against sending on the cause with other parts for as long as a part that ran well before was open at the same crashes.
-BOOST_AUTO_TEST_CASE(aPartIsRefusedByItselfIfThoseOpenBesideItRanWellBefore, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(aPartIsRefusedByItselfIfThoseOpenBesideItRanWellBefore)
 {
     CrashingRequests table;
     recordSoundPart(table, sharedPart, start - std::chrono::seconds(5));
@@ -275,7 +273,7 @@
 }
 
 /// Guards against refusing requests for a part that ran well before after fewer crashes than a coincidence may bring while nothing is served.
-BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsRefusedAfterFiveCrashes, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(aPartThatRanWellBeforeIsRefusedAfterFiveCrashes)
 {
     CrashingRequests table;
     recordSoundPart(table, sharedPart, start - std::chrono::seconds(5));
--- a/tests/relay_prompt_part_test.cpp
+++ b/tests/relay_prompt_part_test.cpp
@@ -180,7 +180,7 @@
 }
 
 /// Guards against refusing all requests with a first part that most share after one more engine crashed, for another reason.
-BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterACrashBesideThoseOfThePart, *boost::unit_test::label("known_red"))
+BOOST_AUTO_TEST_CASE(soundRequestsAreServedAfterACrashBesideThoseOfThePart)
 {
     RelaySystem system(options());
     system.waitReady();
