Fix: a good run that entries tell each other of seemed to be later with each message

What callers saw: nothing yet. A part of prompts that ran well and then began to crash engines would be sent on again, once its crashes were cleared by the run before them.

Cause: notices carry ages, and each message makes the run seem as much later as it took. Entries took each such time for a newer run and told it on, so that it moved without bound. Crashes are kept by their id and never move.

A run that seems to be less than 200 ms later than the known one is that one; messages between entries take a few milliseconds.

Evidence: CrashingRequestsTest/aRunThatEntriesTellEachOtherOfGrowsNoYounger (300 messages of 20 ms) failed before and passes.

--- a/src/policy/crashing_requests.cpp
+++ b/src/policy/crashing_requests.cpp
@@ -348,9 +348,19 @@
     return notices;
 }
 
+/// Whether the table knows of a good run of the input at about that time. Each message makes it seem a little later than it was.
+static bool isKnownRun(const CrashingRequests &table, std::uint64_t input, TimePoint at)
+{
+    const auto known = table.records.find(input);
+    return known != table.records.end() && known->second.completedAt != TimePoint() && at < known->second.completedAt + repeatedRunTime;
+}
+
 bool applyNotice(CrashingRequests &table, const CrashNotice &notice, TimePoint now)
 {
     const TimePoint at = now - milliseconds(notice.ageMs);
+    if (notice.crash == 0 && isKnownRun(table, notice.input, at)) {
+        return false;
+    }
     return notice.crash == 0 ? recordCompletion(table, notice.input, at, now) : recordCrash(table, notice.input, notice.crash, at, now);
 }
 
--- a/src/policy/crashing_requests.h
+++ b/src/policy/crashing_requests.h
@@ -44,6 +44,7 @@
 constexpr std::chrono::hours quarantineTime{1};    ///< how long a quarantined input is refused after its last crash
 constexpr std::chrono::seconds completionTime{30}; ///< how long a completion is remembered, against older notices of crashes
 constexpr std::chrono::seconds noticeDelay{2};     ///< by how much an observation may seem too recent after its way through several entries
+constexpr milliseconds repeatedRunTime{200};       ///< a run that seems to be later by less, from another entry, is the one that is known
 constexpr std::chrono::seconds crashNewsTime{2};   ///< how long an observation is sent with each message: several may be lost
 
 constexpr std::size_t maxNewsNotices = 16;   ///< in one message: 320 bytes
--- a/tests/crashing_requests_test.cpp
+++ b/tests/crashing_requests_test.cpp
@@ -285,6 +285,30 @@
     BOOST_TEST(isRefusedWith(table, {sharedPart}));
 }
 
+/// Guards against a run that seems to be later each time that entries tell each other of it, until it clears the crashes after it.
+BOOST_AUTO_TEST_CASE(aRunThatEntriesTellEachOtherOfGrowsNoYounger)
+{
+    constexpr milliseconds messageTime{20};
+    CrashingRequests a;
+    CrashingRequests b;
+    recordSoundPart(a, sharedPart, start - std::chrono::seconds(5));
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        crashWith(a, 10 + id, {sharedPart}, id);
+    }
+    TimePoint now = start;
+    for (int i = 0; i < 300; ++i) {
+        CrashingRequests &from = i % 2 == 0 ? a : b;
+        CrashingRequests &to = i % 2 == 0 ? b : a;
+        const std::vector<CrashNotice> notices = noticesOf(from, sharedPart, now);
+        now += messageTime;
+        for (const CrashNotice &notice : notices) {
+            applyNotice(to, notice, now);
+        }
+    }
+    BOOST_TEST(isRefusedWith(a, {sharedPart}));
+    BOOST_TEST(isRefusedWith(b, {sharedPart}));
+}
+
 BOOST_AUTO_TEST_CASE(knownSoundPartsAreBounded)
 {
     CrashingRequests table;
