Fix: connections that send nothing took all descriptors of an entry

What callers saw: an entry at which thousands of connections are opened and left idle has no descriptor left for other callers, targets, the store and other entries, until the connections' idle timeout.

Cause: connections were bounded by timeouts only, not by number.

Now callers' connections may take three quarters of the descriptors (setting max-descriptors, from the platform's sheet, or the limit of the operating system). At that limit idle connections are closed, those that never had a request first and the longest waiting before others; the new connection is closed unread if none is idle. One in 32 places is freed at a time, so that a flood costs one look at all connections for so many new ones. Requests that are being received or answered are never broken off for it. Event 238, metric parsley_relay_idle_connections_closed; the state dump shows this limit, the limit of open requests, the lag and the number of sound parts.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -5,7 +5,11 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <event2/util.h>
+
+#include <algorithm>
 #include <set>
+#include <vector>
 
 namespace Parsleytrail
 {
@@ -18,6 +22,9 @@
 /// more than four times as many unprocessed bytes.
 constexpr std::size_t initialBodyReserveBytes = 64 * 1024;
 
+/// When there is no place for another connection, one in so many places is freed: finding them takes a look at all connections.
+constexpr std::size_t closedAtOnce = 32;
+
 struct CallerSession;
 
 struct CallerSessions::Private {
@@ -29,7 +36,10 @@
     std::set<ConnectionPtr> closing{}; ///< connections whose last response is complete and is still being sent
     std::unique_ptr<Timer> tick{};
     std::size_t openExchanges = 0;
+    std::uint64_t closedForOthers = 0;
     bool isDraining = false;
+
+    void closeLongestIdle();
 };
 
 struct CallerExchange::Private {
@@ -57,7 +67,9 @@
     bool isAnswering = false; ///< the request was passed to the handler or rejected
     TimePoint waitingSince{}; ///< when the first byte of a head, the last part of a body or the end of a response was processed
     bool hasPartialHead = false;
+    bool hasServed = false; ///< a request on this connection was answered
 
+    bool isIdle() const;
     void start();
     void handleInput();
     void handleHead();
@@ -69,6 +81,12 @@
     void checkTimeouts(TimePoint now);
 };
 
+/// Whether no request is being received or answered.
+bool CallerSession::isIdle() const
+{
+    return !isAnswering && !hasPartialHead && !isReadingBody;
+}
+
 void CallerSession::start()
 {
     waitingSince = owner->clock.now();
@@ -192,6 +210,7 @@
     isAnswering = false;
     isReadingBody = false;
     hasPartialHead = false;
+    hasServed = true;
     waitingSince = owner->clock.now();
     if (done->d->closes || owner->isDraining) {
         owner->closing.insert(connection);
@@ -232,12 +251,11 @@
     if (isAnswering) {
         return;
     }
-    const bool isWaitingForRequest = !hasPartialHead && !isReadingBody;
-    const milliseconds limit = isWaitingForRequest ? owner->limits.idleTimeout : owner->limits.headerTimeout;
+    const milliseconds limit = isIdle() ? owner->limits.idleTimeout : owner->limits.headerTimeout;
     if (now - waitingSince < limit) {
         return;
     }
-    if (isWaitingForRequest) {
+    if (isIdle()) {
         connection->close();
         owner->sessions.erase(shared_from_this());
         return;
@@ -443,13 +461,45 @@
     d->limits = limits;
 }
 
-void CallerSessions::add(int socket)
+/// Closes some of the idle connections: those that never had a request before others, and then those that have waited longest.
+void CallerSessions::Private::closeLongestIdle()
 {
+    std::vector<std::shared_ptr<CallerSession>> idle;
+    for (const auto &session : sessions) {
+        if (session->isIdle() && session->connection->input().empty()) {
+            idle.push_back(session);
+        }
+    }
+    const std::size_t count = std::min(idle.size(), limits.maxConnections / closedAtOnce + 1);
+    std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(), [](const auto &a, const auto &b) {
+        return a->hasServed != b->hasServed ? b->hasServed : a->waitingSince < b->waitingSince;
+    });
+    idle.resize(count);
+    for (const auto &session : idle) {
+        session->connection->close();
+        sessions.erase(session);
+    }
+    closedForOthers += count;
+}
+
+bool CallerSessions::add(int socket)
+{
+    const auto isFull = [this] {
+        return d->limits.maxConnections > 0 && d->sessions.size() + d->closing.size() >= d->limits.maxConnections;
+    };
+    if (isFull()) {
+        d->closeLongestIdle();
+    }
+    if (isFull()) {
+        evutil_closesocket(socket);
+        return false;
+    }
     const auto session = std::make_shared<CallerSession>();
     session->owner = d.get();
     session->connection = Connection::adopt(d->loop, socket);
     d->sessions.insert(session);
     session->start();
+    return true;
 }
 
 void CallerSessions::beginDrain()
@@ -461,7 +511,7 @@
 {
     const auto sessions = d->sessions;
     for (const auto &session : sessions) {
-        if (!session->isAnswering && !session->hasPartialHead && !session->isReadingBody) {
+        if (session->isIdle()) {
             session->connection->close();
             d->sessions.erase(session);
         }
@@ -473,6 +523,11 @@
     return d->sessions.size();
 }
 
+std::uint64_t CallerSessions::closedForOthers() const
+{
+    return d->closedForOthers;
+}
+
 std::size_t CallerSessions::openExchanges() const
 {
     return d->openExchanges;
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -20,6 +20,7 @@
     std::size_t maxBodyBytes = 1 << 20; ///< exceeded: 413
     milliseconds headerTimeout{5000};   ///< for receiving a head, and between two parts of a body; exceeded: 408
     milliseconds idleTimeout{15000};    ///< between requests; exceeded: the connection is closed
+    std::size_t maxConnections = 0;     ///< exceeded: idle connections are closed, or the new one if there are none; 0: no limit
 };
 
 /// A header field of a response.
@@ -79,12 +80,14 @@
     ~CallerSessions();
 
     void setLimits(const SessionLimits &limits);
-    /// Takes ownership of an accepted socket.
-    void add(int socket);
+    /// Takes ownership of an accepted socket. Returns false if it was closed unread because of maxConnections.
+    bool add(int socket);
     /// From now on every response closes its connection.
     void beginDrain();
     /// Closes connections on which no request is being received or answered.
     void closeIdle();
+    /// Number of idle connections that were closed so far because of maxConnections.
+    std::uint64_t closedForOthers() const;
     std::size_t count() const;
     /// Number of requests received and not yet answered.
     std::size_t openExchanges() const;
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -25,6 +25,8 @@
     std::uint64_t &connections = all.counter("parsley_relay_connections", "Connections of callers that were accepted.");
     std::uint64_t &connectionsClosedUnread =
         all.counter("parsley_relay_connections_closed_unread", "Connections of callers that were closed before anything was read, because of too much work.");
+    std::uint64_t &idleConnectionsClosed =
+        all.counter("parsley_relay_idle_connections_closed", "Connections of callers without a request that were closed for want of descriptors.");
     std::uint64_t &served = all.counter("parsley_relay_served", "Requests answered with a target's whole answer.");
     std::uint64_t &servedUntilClose = all.counter("parsley_relay_served_until_close", "Of these, answers that ended with their connection.");
     std::uint64_t &refused = all.counter("parsley_relay_refused", "Requests refused without having run.");
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -21,6 +21,7 @@
 
 #include <event2/util.h>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <map>
@@ -45,6 +46,9 @@
 /// lost, although the successor reads its configuration in a fraction of a second. So new connections wait up to this long for the
 /// configuration and the targets; callers abandon a request that is not read for a second.
 constexpr milliseconds maxStartupAcceptDelay{800};
+constexpr milliseconds connectionLogInterval{1000}; ///< between two events about connections that were closed for want of descriptors
+/// Share of the descriptors that callers' connections may take; the rest is for targets, the store and other entries.
+constexpr double callersDescriptorShare = 0.75;
 constexpr milliseconds budgetUpdateInterval{1000}; ///< how often this entry's shares of budgets are adapted
 
 /// The first engine of a chain answers an order to move a stream immediately.
@@ -76,6 +80,9 @@
     TimePoint leaderReportedAt{}; ///< when another entry was last reported to send orders, or the start
     OverloadGuard overload{};
     TimePoint checkedAt{}; ///< last call of checkForwardings()
+    SessionLimits callerLimits{};
+    std::uint64_t reportedClosed = 0; ///< connections that reportConnectionLimit() has logged as closed
+    TimePoint connectionLimitReportedAt{};
     bool isDraining = false;
     bool wasReady = false;
     bool isFallbackLeader = false; ///< this entry sends orders without the lease, while the store is unreachable
@@ -86,6 +93,7 @@
     void refuseQuarantined(const ForwardedRequest &request, std::uint64_t input);
     void applyCallerLimits();
     void acceptConnection(int socket);
+    void reportConnectionLimit(TimePoint now);
     void recordLag(TimePoint now);
     void checkForwardings();
     void probeSuspects(const std::vector<ForwardingPtr> &open, TimePoint now);
@@ -198,12 +206,38 @@
 
 void Relay::Private::acceptConnection(int socket)
 {
-    if (acceptsConnection(overload, static_cast<int>(sessions->openExchanges()))) {
-        ++context.metrics.connections;
-        return sessions->add(socket);
+    if (!acceptsConnection(overload, static_cast<int>(sessions->openExchanges()))) {
+        ++context.metrics.connectionsClosedUnread;
+        evutil_closesocket(socket);
+        return;
+    }
+    ++(sessions->add(socket) ? context.metrics.connections : context.metrics.connectionsClosedUnread);
+}
+
+/// Descriptors that this process may have open.
+static std::size_t descriptorLimit(const RelaySettings &settings)
+{
+    rlimit limit{};
+    if (settings.maxDescriptors > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return static_cast<std::size_t>(settings.maxDescriptors);
+    }
+    return limit.rlim_cur == RLIM_INFINITY ? 0 : limit.rlim_cur;
+}
+
+/// Logs, at most once in connectionLogInterval, how many connections were closed for want of descriptors.
+void Relay::Private::reportConnectionLimit(TimePoint now)
+{
+    const std::uint64_t closed = sessions->closedForOthers();
+    if (closed == reportedClosed || now - connectionLimitReportedAt < connectionLogInterval) {
+        return;
     }
-    ++context.metrics.connectionsClosedUnread;
-    evutil_closesocket(socket);
+    connectionLimitReportedAt = now;
+    context.metrics.idleConnectionsClosed = closed;
+    logEvent(Event::ConnectionsAtLimit, {{"limit", std::to_string(callerLimits.maxConnections)},
+                                         {"open", std::to_string(sessions->openExchanges())},
+                                         {"connections", std::to_string(sessions->count())},
+                                         {"closed", std::to_string(closed - reportedClosed)}});
+    reportedClosed = closed;
 }
 
 /// Records how late the timer of checkForwardings() has fired, and logs when connections begin or cease to be closed unread.
@@ -225,6 +259,7 @@
 {
     const TimePoint now = context.clock.now();
     recordLag(now);
+    reportConnectionLimit(now);
     const std::vector<ForwardingPtr> open = forwardings;
     for (const ForwardingPtr &forwarding : open) {
         forwarding->checkTimeouts(now);
@@ -277,7 +312,11 @@
     const CallerLimits &limits = context.routes->limits;
     // Callers reuse a connection for a fraction of the idle timeout; the remainder is a margin for requests that arrive late.
     constexpr milliseconds idleSlack{1000};
-    sessions->setLimits({limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout + idleSlack});
+    callerLimits.maxHeaderBytes = limits.maxHeaderBytes;
+    callerLimits.maxBodyBytes = limits.maxBodyBytes;
+    callerLimits.headerTimeout = limits.headerTimeout;
+    callerLimits.idleTimeout = limits.idleTimeout + idleSlack;
+    sessions->setLimits(callerLimits);
 }
 
 // [SECTION] Readiness
@@ -404,6 +443,8 @@
     data.sessions = std::make_unique<CallerSessions>(loop, clock, [&data](const CallerExchangePtr &exchange) {
         data.handleRequest(exchange);
     });
+    data.callerLimits.maxConnections = static_cast<std::size_t>(callersDescriptorShare * static_cast<double>(descriptorLimit(settings)));
+    data.sessions->setLimits(data.callerLimits);
     data.listener = std::make_unique<Listener>(loop, [&data](int socket) {
         data.acceptConnection(socket);
     });
@@ -620,6 +661,10 @@
     state["followsAggregator"] = !d->peers->others().source.host.empty();
     state["tablesFrom"] = d->peers->others().source.host;
     state["callerConnections"] = d->sessions->count();
+    state["maxCallerConnections"] = d->callerLimits.maxConnections;
+    state["openRequestsLimit"] = static_cast<int>(d->overload.openLimit);
+    state["timerLagMs"] = d->overload.averageLagMs;
+    state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
                                       {"address", target.registered.address.toString()},
--- a/tests/relay_hot_entry_test.cpp
+++ b/tests/relay_hot_entry_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <thread>
 
 using namespace Parsleytrail;
@@ -23,6 +24,9 @@
 constexpr milliseconds waveTime{4000};    ///< after contactTime
 constexpr double allowedShare = 0.75;     ///< of the first attempts that were served before
 
+constexpr int fewDescriptors = 80;
+constexpr int connectionsOfCallers = 60; ///< three quarters of them
+
 /// Sends requests through a balancer, counting those whose first attempt was served.
 class BalancedTraffic
 {
@@ -181,4 +185,46 @@
     BOOST_TEST(afterwards->status() == 200);
 }
 
+/// Guards against connections that send nothing and take up the descriptors that the entry needs for others.
+BOOST_AUTO_TEST_CASE(silentConnectionsDoNotKeepCallersOut)
+{
+    RelaySystemOptions options;
+    options.tuneRelay = [](RelaySettings &settings) {
+        settings.maxDescriptors = fewDescriptors;
+    };
+    RelaySystem system(options);
+    system.addTarget("t0", [](const RawRequest &request) {
+        RawReply reply{sealedAnswer(request, "fine")};
+        reply.delay = request.head.find("/slow ") != std::string::npos ? milliseconds(700) : milliseconds(0);
+        return reply;
+    });
+    system.waitReady();
+    const auto answer = [&](const std::string &path, const std::string &id) {
+        const RawCallPtr call = system.call("GET", path, id);
+        system.wait("answer", [&] {
+            return call->hasCompleteResponse() || call->isClosed;
+        });
+        return call;
+    };
+    const RawCallPtr kept = answer("/read/kept", "kept");
+    const RawCallPtr slow = system.call("GET", "/read/slow", "slow");
+    std::vector<RawCallPtr> silent;
+    for (int i = 0; i < 4 * connectionsOfCallers; ++i) {
+        silent.push_back(system.send(""));
+        system.idle(milliseconds(1));
+    }
+    system.idle(milliseconds(50));
+    const auto closed = std::count_if(silent.begin(), silent.end(), [](const RawCallPtr &call) {
+        return call->isClosed;
+    });
+    BOOST_TEST(static_cast<int>(silent.size()) - closed <= connectionsOfCallers);
+    BOOST_TEST(answer("/read/x", "new")->status() == 200);
+    // Those that have used their connection keep it longer than those that have not, and a request that runs is never broken off.
+    BOOST_TEST(!kept->isClosed);
+    system.wait("slow answer", [&] {
+        return slow->hasCompleteResponse() || slow->isClosed;
+    });
+    BOOST_TEST(slow->status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
