Fix: an entry without free descriptors did nothing but try to accept a connection

What callers saw: at an entry whose descriptors are all taken, every event of every stream is late, and health queries too.

Cause: a connection that can't be accepted stays in the backlog, and the loop reports the listener as readable again at once. Nothing handled the error, so that the process called accept() in a loop and wrote a warning each time.

--- a/src/relay/connection.cpp
+++ b/src/relay/connection.cpp
@@ -1,6 +1,8 @@
 // Index: [SECTION] Sockets, [SECTION] Connection, [SECTION] Listener
 #include "relay/connection.h"
 
+#include "base/log.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -324,13 +326,43 @@
     EventLoop &loop;
     Handler handler;
     evconnlistener *listener = nullptr;
+    bool isAccepting = true;
+    std::unique_ptr<Timer> resumeTimer{}; ///< runs while no connection is accepted after an error
+
+    void applyAccepting() const;
+    void handleError();
 };
 
+/// An error of accept() mostly means that no descriptor is free. The connection stays in the backlog, so that the next try follows at once.
+constexpr milliseconds acceptErrorPause{100};
+
+void Listener::Private::applyAccepting() const
+{
+    if (!listener) {
+        return;
+    }
+    if (isAccepting && !resumeTimer->isRunning()) {
+        evconnlistener_enable(listener);
+    } else {
+        evconnlistener_disable(listener);
+    }
+}
+
+void Listener::Private::handleError()
+{
+    logEvent(Event::AcceptFailed, {{"reason", std::strerror(errno)}, {"pause_ms", std::to_string(acceptErrorPause.count())}});
+    resumeTimer->start(acceptErrorPause);
+    applyAccepting();
+}
+
 constexpr int listenBacklog = 512; ///< not yet accepted connections: enough for all callers of a data centre reconnecting at once
 
 Listener::Listener(EventLoop &loop, Handler handler)
     : d(std::make_unique<Private>(Private{loop, std::move(handler)}))
 {
+    d->resumeTimer = std::make_unique<Timer>(loop, [this] {
+        d->applyAccepting();
+    });
 }
 
 Listener::~Listener()
@@ -349,19 +381,17 @@
     if (!d->listener) {
         return fail("listen", address.toString(), std::strerror(errno));
     }
+    evconnlistener_set_error_cb(d->listener, [](evconnlistener *, void *arg) {
+        static_cast<Private *>(arg)->handleError();
+    });
+    d->applyAccepting();
     return {};
 }
 
 void Listener::setAccepting(bool isAccepting)
 {
-    if (!d->listener) {
-        return;
-    }
-    if (isAccepting) {
-        evconnlistener_enable(d->listener);
-    } else {
-        evconnlistener_disable(d->listener);
-    }
+    d->isAccepting = isAccepting;
+    d->applyAccepting();
 }
 
 std::uint16_t Listener::port() const
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -72,7 +72,7 @@
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-/// Accepts TCP connections on one address.
+/// Accepts TCP connections on one address. After an error of accept(), which is logged, it pauses: the next try would fail too.
 class Listener
 {
 public:
--- a/tests/relay_hot_entry_test.cpp
+++ b/tests/relay_hot_entry_test.cpp
@@ -3,8 +3,10 @@
 #include "tests/relay_system.h"
 
 #include <boost/test/unit_test.hpp>
+#include <sys/resource.h>
 
 #include <algorithm>
+#include <ctime>
 #include <thread>
 
 using namespace Parsleytrail;
@@ -227,4 +229,28 @@
     BOOST_TEST(slow->status() == 200);
 }
 
+/// Guards against an entry without free descriptors that does nothing but try to accept a connection.
+BOOST_AUTO_TEST_CASE(acceptIsNotRepeatedAtOnceWithoutFreeDescriptors)
+{
+    RelaySystem system;
+    system.addTarget("t0", [](const RawRequest &request) {
+        return RawReply{sealedAnswer(request, "fine")};
+    });
+    system.waitReady();
+    const RawCallPtr call = system.call("GET", "/read/x", "c-1");
+    rlimit usual{};
+    BOOST_TEST_REQUIRE(getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    const rlimit none{3, usual.rlim_max};
+    BOOST_TEST_REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    const std::clock_t usedBefore = std::clock();
+    system.idle(milliseconds(600));
+    const double usedSeconds = static_cast<double>(std::clock() - usedBefore) / CLOCKS_PER_SEC;
+    BOOST_TEST_REQUIRE(setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    BOOST_TEST(usedSeconds < 0.3);
+    system.wait("answer", [&] {
+        return call->hasCompleteResponse() || call->isClosed;
+    });
+    BOOST_TEST(call->status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
