--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -22,8 +22,8 @@
 /// more than four times as many unprocessed bytes.
 constexpr std::size_t initialBodyReserveBytes = 64 * 1024;
 
-/// When there is no place for another connection, one in so many places is freed: finding them takes a look at all connections.
-constexpr std::size_t closedAtOnce = 32;
+/// Share of all places that is freed when there is none for another connection: finding the connections takes a look at all.
+constexpr double freedShare = 0.03;
 
 struct CallerSession;
 
@@ -470,7 +470,8 @@
             idle.push_back(session);
         }
     }
-    const std::size_t count = std::min(idle.size(), limits.maxConnections / closedAtOnce + 1);
+    const std::size_t wanted = static_cast<std::size_t>(freedShare * static_cast<double>(limits.maxConnections)) + 1;
+    const std::size_t count = std::min(idle.size(), wanted);
     std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(), [](const auto &a, const auto &b) {
         return a->hasServed != b->hasServed ? b->hasServed : a->waitingSince < b->waitingSince;
     });
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -7,7 +7,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "policy/fallback_leader.h"
-#include "policy/overload.h"
+#include "relay/caller_admission.h"
 #include "relay/caller_session.h"
 #include "relay/crash_guard.h"
 #include "relay/engine_prober.h"
@@ -19,9 +19,7 @@
 #include "relay/request_inputs.h"
 #include "wire/compression.h"
 
-#include <event2/util.h>
 #include <nlohmann/json.hpp>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <map>
@@ -46,9 +44,6 @@
 /// lost, although the successor reads its configuration in a fraction of a second. So new connections wait up to this long for the
 /// configuration and the targets; callers abandon a request that is not read for a second.
 constexpr milliseconds maxStartupAcceptDelay{800};
-constexpr milliseconds connectionLogInterval{1000}; ///< between two events about connections that were closed for want of descriptors
-/// Share of the descriptors that callers' connections may take; the rest is for targets, the store and other entries.
-constexpr double callersDescriptorShare = 0.75;
 constexpr milliseconds budgetUpdateInterval{1000}; ///< how often this entry's shares of budgets are adapted
 
 /// The first engine of a chain answers an order to move a stream immediately.
@@ -65,6 +60,7 @@
     std::unique_ptr<PlacementController> placement{};
     std::unique_ptr<RelayPeers> peers{};
     std::unique_ptr<CallerSessions> sessions{};
+    std::unique_ptr<CallerAdmission> admission{};
     std::unique_ptr<Listener> listener{};
     std::unique_ptr<HttpServer> readinessServer{};
     std::unique_ptr<HttpServer> metricsServer{};
@@ -78,11 +74,6 @@
     std::function<void()> finished{};
     TimePoint drainStartedAt{};
     TimePoint leaderReportedAt{}; ///< when another entry was last reported to send orders, or the start
-    OverloadGuard overload{};
-    TimePoint checkedAt{}; ///< last call of checkForwardings()
-    SessionLimits callerLimits{};
-    std::uint64_t reportedClosed = 0; ///< connections that reportConnectionLimit() has logged as closed
-    TimePoint connectionLimitReportedAt{};
     bool isDraining = false;
     bool wasReady = false;
     bool isFallbackLeader = false; ///< this entry sends orders without the lease, while the store is unreachable
@@ -91,10 +82,6 @@
     void handleRequest(const CallerExchangePtr &exchange);
     void forward(ForwardedRequest request);
     void refuseQuarantined(const ForwardedRequest &request, std::uint64_t input);
-    void applyCallerLimits();
-    void acceptConnection(int socket);
-    void reportConnectionLimit(TimePoint now);
-    void recordLag(TimePoint now);
     void checkForwardings();
     void probeSuspects(const std::vector<ForwardingPtr> &open, TimePoint now);
     void moveStream(const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done);
@@ -204,62 +191,10 @@
     refuseRequest(context, request, refusal, 0);
 }
 
-void Relay::Private::acceptConnection(int socket)
-{
-    if (!acceptsConnection(overload, static_cast<int>(sessions->openExchanges()))) {
-        ++context.metrics.connectionsClosedUnread;
-        evutil_closesocket(socket);
-        return;
-    }
-    ++(sessions->add(socket) ? context.metrics.connections : context.metrics.connectionsClosedUnread);
-}
-
-/// Descriptors that this process may have open.
-static std::size_t descriptorLimit(const RelaySettings &settings)
-{
-    rlimit limit{};
-    if (settings.maxDescriptors > 0 || getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-        return static_cast<std::size_t>(settings.maxDescriptors);
-    }
-    return limit.rlim_cur == RLIM_INFINITY ? 0 : limit.rlim_cur;
-}
-
-/// Logs, at most once in connectionLogInterval, how many connections were closed for want of descriptors.
-void Relay::Private::reportConnectionLimit(TimePoint now)
-{
-    const std::uint64_t closed = sessions->closedForOthers();
-    if (closed == reportedClosed || now - connectionLimitReportedAt < connectionLogInterval) {
-        return;
-    }
-    connectionLimitReportedAt = now;
-    context.metrics.idleConnectionsClosed = closed;
-    logEvent(Event::ConnectionsAtLimit, {{"limit", std::to_string(callerLimits.maxConnections)},
-                                         {"open", std::to_string(sessions->openExchanges())},
-                                         {"connections", std::to_string(sessions->count())},
-                                         {"closed", std::to_string(closed - reportedClosed)}});
-    reportedClosed = closed;
-}
-
-/// Records how late the timer of checkForwardings() has fired, and logs when connections begin or cease to be closed unread.
-void Relay::Private::recordLag(TimePoint now)
-{
-    const auto sinceLast = std::chrono::duration_cast<milliseconds>(now - std::exchange(checkedAt, now));
-    const bool wasLimited = overload.openLimit > 0;
-    recordTimerLag(overload, sinceLast - forwardingCheckInterval, static_cast<int>(sessions->openExchanges()), now);
-    const bool isLimited = overload.openLimit > 0;
-    if (isLimited != wasLimited) {
-        logEvent(Event::OverloadLimit, {{"limit", std::to_string(static_cast<int>(overload.openLimit))},
-                                        {"open", std::to_string(sessions->openExchanges())},
-                                        {"connections", std::to_string(sessions->count())},
-                                        {"lag_ms", std::to_string(static_cast<int>(overload.averageLagMs))}});
-    }
-}
-
 void Relay::Private::checkForwardings()
 {
     const TimePoint now = context.clock.now();
-    recordLag(now);
-    reportConnectionLimit(now);
+    admission->check(now);
     const std::vector<ForwardingPtr> open = forwardings;
     for (const ForwardingPtr &forwarding : open) {
         forwarding->checkTimeouts(now);
@@ -304,21 +239,6 @@
     }
 }
 
-void Relay::Private::applyCallerLimits()
-{
-    if (!context.routes) {
-        return;
-    }
-    const CallerLimits &limits = context.routes->limits;
-    // Callers reuse a connection for a fraction of the idle timeout; the remainder is a margin for requests that arrive late.
-    constexpr milliseconds idleSlack{1000};
-    callerLimits.maxHeaderBytes = limits.maxHeaderBytes;
-    callerLimits.maxBodyBytes = limits.maxBodyBytes;
-    callerLimits.headerTimeout = limits.headerTimeout;
-    callerLimits.idleTimeout = limits.idleTimeout + idleSlack;
-    sessions->setLimits(callerLimits);
-}
-
 // [SECTION] Readiness
 
 bool Relay::Private::isReady()
@@ -436,17 +356,15 @@
 {
     Private &data = *d;
     data.context.entryCount.startedAt = clock.now();
-    data.checkedAt = clock.now();
     data.leaderReportedAt = clock.now();
     data.context.entryCount.mayHavePeers = hasOtherSeeds(settings);
     data.context.random.seed(hash64(settings.id, incarnationNow(clock).value));
     data.sessions = std::make_unique<CallerSessions>(loop, clock, [&data](const CallerExchangePtr &exchange) {
         data.handleRequest(exchange);
     });
-    data.callerLimits.maxConnections = static_cast<std::size_t>(callersDescriptorShare * static_cast<double>(descriptorLimit(settings)));
-    data.sessions->setLimits(data.callerLimits);
+    data.admission = std::make_unique<CallerAdmission>(data.context, *data.sessions);
     data.listener = std::make_unique<Listener>(loop, [&data](int socket) {
-        data.acceptConnection(socket);
+        data.admission->accept(socket);
     });
     data.forwardingTimer = std::make_unique<Timer>(loop, [&data] {
         data.checkForwardings();
@@ -532,7 +450,9 @@
     data.startTimer->start(maxStartupAcceptDelay);
     Registry::Handlers handlers;
     handlers.onRoutes = [&data] {
-        data.applyCallerLimits();
+        if (data.context.routes) {
+            data.admission->applyLimits(data.context.routes->limits);
+        }
         data.acceptIfComplete();
     };
     handlers.onTargets = [&data] {
@@ -661,9 +581,9 @@
     state["followsAggregator"] = !d->peers->others().source.host.empty();
     state["tablesFrom"] = d->peers->others().source.host;
     state["callerConnections"] = d->sessions->count();
-    state["maxCallerConnections"] = d->callerLimits.maxConnections;
-    state["openRequestsLimit"] = static_cast<int>(d->overload.openLimit);
-    state["timerLagMs"] = d->overload.averageLagMs;
+    state["maxCallerConnections"] = d->admission->maxConnections();
+    state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
+    state["timerLagMs"] = d->admission->overload().averageLagMs;
     state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
