Forecast of prompt processing, and priorities that a service's routes differ in

Cause: nothing estimates when an engine has processed the prompts that it was sent, although after the loss of an engine its streams are late because they are processed one after the other. Change: pure functions for that forecast, the constants they need from the configuration (tokens in a step, delays of links), and a mark on services whose stream routes differ in priority. Result: six tests; nothing uses the forecast yet.

--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -87,6 +87,7 @@
     double kvTokenLayers = 0;         ///< KV cache that this process's open requests are expected to need, tokens x layers
     double peersKvTokenLayers = 0;    ///< KV cache that the open requests of other entries need, tokens x layers, as last reported
     int peersOpenRequests = 0;        ///< open requests of the other entries, as last reported
+    TimePoint prefillBusyUntil{};     ///< until when it is expected to process prompts; see policy/prefill_forecast.h
 };
 
 /// What is remembered of a target without a registry entry: entries of running targets are removed during outages of the store, and come back.
--- /dev/null
+++ b/src/policy/prefill_forecast.h
@@ -0,0 +1,34 @@
+// Forecast of when engines will have processed the prompts that they were sent.
+//
+// An engine processes prompts one after the other, between the passes of its running streams. When an engine of a chain is lost, all
+// its streams are processed again by the few engines that hold the same layers, and a stream that is sent there continues only
+// after those before it. The forecast counts what this entry has sent, so that the next streams can be sent elsewhere, or in order
+// of urgency.
+//
+//     const double ms = prefillMs(model, kind, tokens, stage.layers.count());
+//     if (prefillBacklogMs(target, now) + ms <= msLeft) ...
+//     addPrefill(target, ms, now);
+//
+// Pure: the caller passes the time in.
+#pragma once
+
+#include "policy/fleet.h"
+#include "policy/routes.h"
+
+namespace Parsleytrail
+{
+
+/// Time in ms that an engine of this kind takes to process `tokens` through `layers` layers, with the decoding steps of its running
+/// streams in between. Zero if the model does not say how many tokens a step processes: the forecast is off.
+double prefillMs(const EngineModel &model, const AcceleratorKind &kind, double tokens, int layers);
+
+/// Time in ms until the engine is expected to have processed all prompts that it was sent so far.
+double prefillBacklogMs(const Target &target, TimePoint now);
+/// Adds `ms` to the engine's backlog.
+void addPrefill(Target &target, double ms, TimePoint now);
+
+/// How many entries' work an entry has to add for its own, if all send streams of the same lost engine at once: all open requests
+/// there, relative to this entry's. Their reports arrive too late for the moment of the loss.
+double recoveryMultiplier(const Target &lost);
+
+} // namespace Parsleytrail
--- a/src/policy/routes.cpp
+++ b/src/policy/routes.cpp
@@ -1,6 +1,7 @@
 #include "policy/routes.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Parsleytrail
 {
@@ -15,6 +16,17 @@
     return nullptr;
 }
 
+double dataCenterDelayMs(const EngineModel &model, std::string_view from, std::string_view to)
+{
+    for (const DataCenterDelay &delay : model.delays) {
+        const bool isLink = (delay.from == from && delay.to == to) || (delay.from == to && delay.to == from);
+        if (isLink) {
+            return delay.ms;
+        }
+    }
+    return 0;
+}
+
 static std::string indexKey(std::string_view host, std::string_view prefix)
 {
     std::string key;
@@ -26,12 +38,36 @@
     return key;
 }
 
+/// Marks the services whose stream routes, or the workspaces that may call them, differ in priority.
+static void markPriorities(RouteTable &table)
+{
+    std::unordered_map<ServiceName, std::set<int>> priorities;
+    std::set<int> ofWorkspaces;
+    for (const auto &[key, owner] : table.keyOwners) {
+        if (owner.priority) {
+            ofWorkspaces.insert(*owner.priority);
+        }
+    }
+    for (const Route &route : table.routes) {
+        for (const WeightedService &part : route.services) {
+            if (route.kind == CallKind::Stream) {
+                priorities[part.service].insert(route.priority);
+                priorities[part.service].insert(ofWorkspaces.begin(), ofWorkspaces.end());
+            }
+        }
+    }
+    for (auto &[name, service] : table.services) {
+        service.hasPriorities = priorities[name].size() > 1;
+    }
+}
+
 void indexRoutes(RouteTable &table)
 {
     table.routeIndex.clear();
     for (std::size_t i = 0; i < table.routes.size(); ++i) {
         table.routeIndex.emplace(indexKey(table.routes[i].host, table.routes[i].prefix), i);
     }
+    markPriorities(table);
 }
 
 const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path)
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -57,25 +57,36 @@
     double prefillSlowdownFactor = 1; ///< slowdown factor of processing a prompt (prefill)
 };
 
+/// Configured delay of a link between two data centres.
+struct DataCenterDelay {
+    std::string from; ///< data centre at one end
+    std::string to;   ///< data centre at the other end
+    double ms = 0;    ///< one way
+};
+
 /// Constants of a service whose engines hold layer ranges of a model.
 struct EngineModel {
-    std::string modelName;              ///< as named in requests
-    int layers = 0;                     ///< layers of the model
-    double layerMb = 0;                 ///< memory of one layer
-    double kvTokenBytes = 0;            ///< KV cache of one token over all layers
-    double stepMs = 0;                  ///< one decoding step of all layers on the reference accelerator
-    double stepMsPerSequence = 0;       ///< added to a step for each decoding sequence
-    double prefillTokensPerMs = 1;      ///< prefill rate over all layers, prompt tokens per millisecond
-    int stepsPerPass = 1;               ///< decoding steps per pass; each pass yields one event
-    double activationBytes = 0;         ///< sent for each token from one engine of a chain to the next
-    double dataCenterLinkMbps = 0;      ///< capacity of the link that all activations between data centres share; 0: unknown
-    int batchSlots = 0;                 ///< concurrent sequences of a first engine
-    double loadSeconds = 0;             ///< time to load all layers
-    int maxConcurrentLoads = 1;         ///< concurrent loads that run at full speed
-    double meanPromptTokens = 0;        ///< mean prompt length of requests; 0: not configured
-    double meanAnswerTokens = 0;        ///< mean answer length of requests; 0: not configured
-    std::vector<AcceleratorKind> kinds; ///< all kinds in use
+    std::string modelName;               ///< as named in requests
+    int layers = 0;                      ///< layers of the model
+    double layerMb = 0;                  ///< memory of one layer
+    double kvTokenBytes = 0;             ///< KV cache of one token over all layers
+    double stepMs = 0;                   ///< one decoding step of all layers on the reference accelerator
+    double stepMsPerSequence = 0;        ///< added to a step for each decoding sequence
+    double prefillTokensPerMs = 1;       ///< prefill rate over all layers, prompt tokens per millisecond
+    int stepsPerPass = 1;                ///< decoding steps per pass; each pass yields one event
+    int prefillChunkTokens = 0;          ///< most prompt tokens that a step processes beside decoding; 0: not configured
+    double activationBytes = 0;          ///< sent for each token from one engine of a chain to the next
+    double dataCenterLinkMbps = 0;       ///< capacity of the link that all activations between data centres share; 0: unknown
+    int batchSlots = 0;                  ///< concurrent sequences of a first engine
+    double loadSeconds = 0;              ///< time to load all layers
+    int maxConcurrentLoads = 1;          ///< concurrent loads that run at full speed
+    double meanPromptTokens = 0;         ///< mean prompt length of requests; 0: not configured
+    double meanAnswerTokens = 0;         ///< mean answer length of requests; 0: not configured
+    std::vector<AcceleratorKind> kinds;  ///< all kinds in use
+    std::vector<DataCenterDelay> delays; ///< links between data centres
 };
+/// Delay in ms, one way, between two data centres; zero if none is configured.
+double dataCenterDelayMs(const EngineModel &model, std::string_view from, std::string_view to);
 const AcceleratorKind *findKind(const EngineModel &model, std::string_view name);
 
 /// A service.
@@ -84,6 +95,7 @@
     std::string healthPath;            ///< path of health probes (GET)
     int maxConnections = 0;            ///< connections that a target accepts from all callers together
     std::optional<EngineModel> engine; ///< set if its targets hold layer ranges of a model
+    bool hasPriorities = false;        ///< its stream routes differ in priority, so that the order of their requests matters; see indexRoutes()
 };
 
 /// Owner of an API key.
@@ -112,7 +124,9 @@
     std::unordered_map<std::string, std::size_t> routeIndex; ///< host + prefix -> index of the route; see indexRoutes()
 };
 
-/// Fills in routeIndex. Of two routes with the same host and prefix the first one is used.
+constexpr int lowestPriority = 9; ///< priorities are 0 to 9; 0 is the most urgent
+
+/// Fills in routeIndex and ServiceSpec::hasPriorities. Of two routes with the same host and prefix the first one is used.
 void indexRoutes(RouteTable &table);
 /// The route on that host with the longest prefix that matches `path`; null if there is none. `path` excludes the query.
 const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path);
--- /dev/null
+++ b/tests/prefill_forecast_test.cpp
@@ -0,0 +1,100 @@
+// Forecast of the prompts that engines still have to process.
+#include "policy/prefill_forecast.h"
+#include "policy/routes.h"
+#include "tests/engine_models.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Parsleytrail;
+
+namespace
+{
+
+constexpr TimePoint start{std::chrono::seconds(1000)};
+
+EngineModel chunkedModel()
+{
+    EngineModel model = largeModel();
+    model.prefillTokensPerMs = 353;
+    model.prefillChunkTokens = 512;
+    return model;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(prefill_forecast)
+
+BOOST_AUTO_TEST_CASE(a_prompt_takes_its_reading_and_the_decoding_steps_between_its_chunks)
+{
+    const EngineModel model = chunkedModel();
+    const AcceleratorKind &kind = *findKind(model, "middle");
+    // 1,024 tokens are one pass of two steps: 2 x 0.85 x 16 ms of decoding and 1,024 x 8.2 / 353 ms of reading, for 8 of 80 layers.
+    BOOST_TEST(prefillMs(model, kind, 1024, 8) == 0.1 * (27.2 + 1024 * 8.2 / 353), boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against a forecast, and decisions by it, where the configuration has no constants for one.
+BOOST_AUTO_TEST_CASE(without_the_size_of_a_chunk_there_is_no_forecast)
+{
+    EngineModel model = chunkedModel();
+    model.prefillChunkTokens = 0;
+    BOOST_TEST(prefillMs(model, *findKind(model, "middle"), 1024, 8) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_backlog_grows_with_each_prompt_and_shrinks_with_time)
+{
+    Target target;
+    addPrefill(target, 30, start);
+    addPrefill(target, 20, start + milliseconds(10));
+    BOOST_TEST(prefillBacklogMs(target, start + milliseconds(10)) == 40, boost::test_tools::tolerance(1e-6));
+    BOOST_TEST(prefillBacklogMs(target, start + milliseconds(60)) == 0);
+}
+
+// Guards against a forecast that counts only this entry's streams when all entries lose the same engine.
+BOOST_AUTO_TEST_CASE(in_a_recovery_the_streams_of_other_entries_count_too)
+{
+    Target lost;
+    lost.openRequests = 5;
+    lost.peersOpenRequests = 95;
+    BOOST_TEST(recoveryMultiplier(lost) == 20);
+    BOOST_TEST(recoveryMultiplier(Target{}) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(priorities)
+
+static RouteTable tableWith(std::vector<int> ofRoutes, std::optional<int> ofWorkspace = {})
+{
+    RouteTable table;
+    table.services[{"chat"}].name = {"chat"};
+    for (const int priority : ofRoutes) {
+        Route route;
+        route.kind = CallKind::Stream;
+        route.priority = priority;
+        route.services = {{{"chat"}, 1}};
+        table.routes.push_back(route);
+    }
+    table.keyOwners["key"] = {{"studio"}, ofWorkspace};
+    indexRoutes(table);
+    return table;
+}
+
+// Guards against an order by urgency in deployments whose configuration asks for none.
+BOOST_AUTO_TEST_CASE(a_service_has_priorities_only_if_its_streams_differ_in_them)
+{
+    BOOST_TEST(!tableWith({1, 1}).services.at({"chat"}).hasPriorities);
+    BOOST_TEST(tableWith({0, 1}).services.at({"chat"}).hasPriorities);
+    BOOST_TEST(tableWith({1, 1}, 0).services.at({"chat"}).hasPriorities);
+    BOOST_TEST(!tableWith({1, 1}, 1).services.at({"chat"}).hasPriorities);
+}
+
+BOOST_AUTO_TEST_CASE(the_delay_of_a_link_is_the_same_in_both_directions)
+{
+    EngineModel model;
+    model.delays = {{"a", "b", 0.62}};
+    BOOST_TEST(dataCenterDelayMs(model, "a", "b") == 0.62);
+    BOOST_TEST(dataCenterDelayMs(model, "b", "a") == 0.62);
+    BOOST_TEST(dataCenterDelayMs(model, "a", "c") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
