Chain selection counts the prompts that engines still have to process

Each stage of a chain costs its engine's forecast backlog, unless the stream already has that stage. A stream that is sent to a chain adds its prompt, and the answer so far, to the forecast of each engine. Without the size of a chunk nothing changes.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -1,5 +1,7 @@
 #include "policy/chain_selection.h"
 
+#include "policy/prefill_forecast.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -13,6 +15,7 @@
     double freeKvTokenLayers = 0;   ///< KV cache left of the share that may be planned for, tokens x layers
     double kvFill = 0;              ///< KV cache in use, relative to the share that may be planned for: 0 empty, 1 full
     double avoidedMs = 0;           ///< cost added because other entries avoid it
+    double backlogMs = 0;           ///< time until it has processed the prompts that it was sent
     bool canBeFirstStage = true;    ///< accepts further requests from entries; one that does not is still used for later stages
     std::size_t dataCenter = 0;     ///< index of its name
 };
@@ -72,6 +75,7 @@
         candidate.freeKvTokenLayers = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
         candidate.avoidedMs = target.peersAvoiding > 0 ? tuning.avoidedByPeersMs : 0;
+        candidate.backlogMs = model.prefillChunkTokens > 0 ? prefillBacklogMs(target, context.now) : 0;
         const bool hasFreeSlot = target.registered.slots <= 0 || open < target.registered.slots * tuning.slotLimit;
         const bool takesRequests = mayBeginStreams(target, context.now) && !isPaused(target, context.now);
         candidate.canBeFirstStage = hasFreeSlot && takesRequests && !context.excludedAsFirst.contains(id);
@@ -132,12 +136,17 @@
     {
         return boundary > 0 || !context.current.empty() || candidate.canBeFirstStage;
     }
-    double keepFactor(const TargetId &id, const LayerRange &layers) const
+    bool isKept(const TargetId &id, const LayerRange &layers) const
     {
-        const bool isKept = std::any_of(context.current.begin(), context.current.end(), [&](const ChainStage &stage) {
+        return std::any_of(context.current.begin(), context.current.end(), [&](const ChainStage &stage) {
             return isSameStage(stage, id, layers);
         });
-        return isKept ? tuning.keptStageFactor : 1;
+    }
+    /// A stage that the running request already has holds its KV cache: it does not wait for the prompts of others.
+    double stageCost(const Candidate &candidate, const LayerRange &layers) const
+    {
+        const double passMs = candidate.stepMsPerLayer * layers.count();
+        return isKept(candidate.target->registered.id, layers) ? passMs * tuning.keptStageFactor : passMs + candidate.backlogMs;
     }
     static bool isSameStage(const ChainStage &stage, const TargetId &id, const LayerRange &layers)
     {
@@ -161,7 +170,7 @@
             if (!isAllowed(id, range)) {
                 continue;
             }
-            const double cost = base + candidate.stepMsPerLayer * layers * keepFactor(id, range);
+            const double cost = base + stageCost(candidate, range);
             PathState &state = states[stateAt(next, candidate.dataCenter)];
             if (cost < state.cost) {
                 state = {cost, index, fromState};
@@ -253,6 +262,30 @@
     return chain;
 }
 
+void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now)
+{
+    if (model.prefillChunkTokens <= 0) {
+        return;
+    }
+    for (const ChainStage &stage : chain) {
+        Target *target = findTarget(fleet, stage.id);
+        const AcceleratorKind *kind = target ? findKind(model, target->registered.accelerator) : nullptr;
+        if (kind) {
+            addPrefill(*target, multiplier * prefillMs(model, *kind, tokens, stage.layers.count()), now);
+        }
+    }
+}
+
+double chainBacklogMs(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now)
+{
+    double backlogMs = 0;
+    for (const ChainStage &stage : chain) {
+        const Target *target = findTarget(fleet, stage.id);
+        backlogMs = std::max(backlogMs, target ? prefillBacklogMs(*target, now) : 0);
+    }
+    return backlogMs;
+}
+
 static DataCenterFreeCapacity freeCapacityOf(const std::vector<Candidate> &candidates, std::size_t dataCenter, const EngineModel &model, double tokens,
                                              const ChainTuning &tuning)
 {
--- a/src/policy/chain_selection.h
+++ b/src/policy/chain_selection.h
@@ -87,6 +87,14 @@
 /// The chain with the lowest cost; empty if the usable engines don't cover all layers, or lack free KV cache or slots.
 std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
                                     const ChainTuning &tuning = {});
+
+/// Adds the time to process `tokens` to the forecast (policy/prefill_forecast.h) of each engine of `chain`. In a move, `chain` holds only
+/// the stages that have to process the tokens. `multiplier` is the number of entries' work that this entry's stands for:
+/// recoveryMultiplier() after the loss of an engine, otherwise 1. Does nothing if the model has no forecast.
+void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now);
+/// The largest backlog of prompts of the chain's engines, ms.
+double chainBacklogMs(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now);
+
 /// Free capacity of a data centre as this entry sees it.
 struct DataCenterFreeCapacity {
     std::string dataCenter;  ///< name of the data centre
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -238,6 +238,9 @@
     const ServiceSpec &service = *m_request.service;
     consumeCrossDataCenterBudget(crossDataCenterBudget(m_context, service), crossDataCenterBytes(m_context.fleet, *service.engine, m_chain, m_demand));
     reserve(+1);
+    // A resumed stream processes its prompt and the answer up to its last event; each event is the answer tokens of a pass.
+    const double tokens = m_demand.promptTokens + static_cast<double>(m_lastEventId) * service.engine->stepsPerPass;
+    addChainPrefill(m_context.fleet, *service.engine, m_chain, tokens, 1, now);
     const HeaderNames &names = m_context.adapter.headers();
     std::vector<AddedField> added = {{names.chain, m_context.adapter.encodeChain(m_chain)}};
     if (m_lastEventId > m_resumeAfterId) {
--- a/tests/prefill_forecast_test.cpp
+++ b/tests/prefill_forecast_test.cpp
@@ -1,4 +1,5 @@
 // Forecast of the prompts that engines still have to process.
+#include "policy/chain_selection.h"
 #include "policy/prefill_forecast.h"
 #include "policy/routes.h"
 #include "tests/engine_models.h"
@@ -59,6 +60,104 @@
     BOOST_TEST(recoveryMultiplier(Target{}) == 1);
 }
 
+static RegisteredTarget engineOf(const std::string &id, const std::string &dataCenter, LayerRange layers)
+{
+    RegisteredTarget registered;
+    registered.id = {id};
+    registered.service = {"chat"};
+    registered.address = {"10.0.0.1", 80};
+    registered.dataCenter = dataCenter;
+    registered.accelerator = "middle";
+    registered.layers = layers;
+    return registered;
+}
+
+/// Two engines with the first layers, one with the others.
+static Fleet fleetWithTwoFirstEngines()
+{
+    Fleet fleet;
+    recordRegistration(fleet, engineOf("first", "a", {0, 8}), start);
+    recordRegistration(fleet, engineOf("second", "a", {0, 8}), start);
+    recordRegistration(fleet, engineOf("last", "a", {8, 16}), start);
+    return fleet;
+}
+
+static EngineModel smallChunkedModel()
+{
+    EngineModel model = chunkedModel();
+    model.layers = 16;
+    model.layerMb = 100;
+    return model;
+}
+
+static ChainSelectionContext contextFor(const EngineModel &model)
+{
+    ChainSelectionContext context;
+    context.model = &model;
+    context.service = {"chat"};
+    context.dataCenter = "a";
+    context.now = start;
+    return context;
+}
+
+static std::string firstEngine(const Fleet &fleet, const ChainSelectionContext &context)
+{
+    std::mt19937_64 random(1);
+    const std::vector<ChainStage> chain = selectChain(fleet, context, {100, 50}, random);
+    return chain.empty() ? "none" : chain.front().id.value;
+}
+
+// Guards against new streams that queue behind the prompts of a recovery while another engine with the same layers is idle.
+BOOST_AUTO_TEST_CASE(chains_avoid_an_engine_with_a_backlog)
+{
+    const EngineModel model = smallChunkedModel();
+    const ChainSelectionContext context = contextFor(model);
+    for (const std::string busy : {"first", "second"}) {
+        Fleet fleet = fleetWithTwoFirstEngines();
+        addChainPrefill(fleet, model, {{{busy}, {}, {0, 8}}}, 900, 100, start);
+        BOOST_TEST(chainBacklogMs(fleet, {{{busy}, {}, {0, 8}}, {{"last"}, {}, {8, 16}}}, start) > 1000);
+        BOOST_TEST(firstEngine(fleet, context) == (busy == "first" ? "second" : "first"));
+    }
+}
+
+// Guards against a forecast that keeps engines out of use after they have processed their prompts.
+BOOST_AUTO_TEST_CASE(a_backlog_in_the_past_does_not_count)
+{
+    const EngineModel model = smallChunkedModel();
+    Fleet fleet = fleetWithTwoFirstEngines();
+    addChainPrefill(fleet, model, {{{"first"}, {}, {0, 8}}}, 900, 100, start);
+    recordFailure(*findTarget(fleet, {"second"}), start + std::chrono::hours(1));
+    ChainSelectionContext context = contextFor(model);
+    context.now = start + std::chrono::hours(1);
+    BOOST_TEST(firstEngine(fleet, context) == "first");
+    BOOST_TEST(chainBacklogMs(fleet, {{{"first"}, {}, {0, 8}}}, context.now) == 0);
+}
+
+// Guards against a change of the selection for models without the constants of a forecast.
+BOOST_AUTO_TEST_CASE(without_the_size_of_a_chunk_chains_have_no_backlog)
+{
+    EngineModel model = smallChunkedModel();
+    model.prefillChunkTokens = 0;
+    Fleet fleet = fleetWithTwoFirstEngines();
+    addChainPrefill(fleet, model, {{{"first"}, {}, {0, 8}}}, 900, 100, start);
+    BOOST_TEST(chainBacklogMs(fleet, {{{"first"}, {}, {0, 8}}}, start) == 0);
+}
+
+// Guards against moves of streams off engines that hold their KV cache, which would make these process the tokens again elsewhere.
+BOOST_AUTO_TEST_CASE(a_stage_that_a_stream_keeps_does_not_wait_for_prompts)
+{
+    const EngineModel model = smallChunkedModel();
+    Fleet fleet = fleetWithTwoFirstEngines();
+    recordRegistration(fleet, engineOf("other last", "a", {8, 16}), start);
+    ChainSelectionContext context = contextFor(model);
+    context.current = {{{"first"}, {}, {0, 8}}, {{"last"}, {}, {8, 16}}};
+    addChainPrefill(fleet, model, context.current, 900, 100, start);
+    std::mt19937_64 random(1);
+    const std::vector<ChainStage> chain = selectChain(fleet, context, {100, 50}, random);
+    BOOST_REQUIRE(chain.size() == 2U);
+    BOOST_TEST(chain.back().id.value == "last");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(priorities)
