Streams of a lost engine are recovered in order of urgency

Cause: streams were moved and restarted in the order in which they were found to be affected, so that urgent ones were late and the retry budget went to whichever failed first. Change: where stream routes of a service differ in priority, the streams of a lost engine are ordered, each is moved, restarted or gives way by forecast, connections that close together share the retry budget in order of urgency, and less urgent streams leave half of it. Engines get the priority.

--- a/src/policy/chain_health.cpp
+++ b/src/policy/chain_health.cpp
@@ -1,38 +1,49 @@
 #include "policy/chain_health.h"
 
-#include <algorithm>
-
 namespace Parsleytrail
 {
 
-/// Whether `isAffected(target, stage)` holds for a stage behind the first one; `target` is null if the engine was removed.
+/// The first stage behind the first one of the chain for which `isAffected(target, stage)` holds; `target` is null if the engine was
+/// removed.
 template<typename Predicate>
-static bool anyLaterStage(const Fleet &fleet, const std::vector<ChainStage> &chain, Predicate isAffected)
+static const ChainStage *findLaterStage(const Fleet &fleet, const std::vector<ChainStage> &chain, Predicate isAffected)
 {
-    return chain.size() > 1 && std::any_of(chain.begin() + 1, chain.end(), [&](const ChainStage &stage) {
-               return isAffected(findTarget(fleet, stage.id), stage);
-           });
+    for (std::size_t i = 1; i < chain.size(); ++i) {
+        if (isAffected(findTarget(fleet, chain[i].id), chain[i])) {
+            return &chain[i];
+        }
+    }
+    return nullptr;
 }
 
-bool hasFailedStage(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now)
+const ChainStage *findFailedStage(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now)
 {
-    return anyLaterStage(fleet, chain, [now](const Target *target, const ChainStage &) {
+    return findLaterStage(fleet, chain, [now](const Target *target, const ChainStage &) {
         return !target || isFailing(*target, now);
     });
 }
 
+bool hasFailedStage(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now)
+{
+    return findFailedStage(fleet, chain, now) != nullptr;
+}
+
 bool hasReleasedStage(const Fleet &fleet, const std::vector<ChainStage> &chain)
 {
-    return anyLaterStage(fleet, chain, [](const Target *target, const ChainStage &stage) {
-        return target && !target->registered.layers.contains(stage.layers);
-    });
+    return findLaterStage(fleet, chain,
+                          [](const Target *target, const ChainStage &stage) {
+                              return target && !target->registered.layers.contains(stage.layers);
+                          })
+           != nullptr;
 }
 
 bool hasDrainingStage(const Fleet &fleet, const std::vector<ChainStage> &chain)
 {
-    return anyLaterStage(fleet, chain, [](const Target *target, const ChainStage &) {
-        return !target || isLeaving(*target);
-    });
+    return findLaterStage(fleet, chain,
+                          [](const Target *target, const ChainStage &) {
+                              return !target || isLeaving(*target);
+                          })
+           != nullptr;
 }
 
 } // namespace Parsleytrail
--- a/src/policy/chain_health.h
+++ b/src/policy/chain_health.h
@@ -12,6 +12,8 @@
 /// Whether an engine was removed or does not respond. Until the stream is moved to others that hold its layers its caller gets no
 /// events.
 bool hasFailedStage(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now);
+/// The first such stage; null if there is none.
+const ChainStage *findFailedStage(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now);
 /// Whether an engine releases the layers of its stage. It loads others only after the streams in them have left.
 bool hasReleasedStage(const Fleet &fleet, const std::vector<ChainStage> &chain);
 /// Whether an engine drains. Some are only removed from the registry and continue to serve for as long.
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -29,6 +29,10 @@
 
     void begin() override;
     void checkTimeouts(TimePoint now) override;
+    RecoveryState recoveryState(TimePoint) const override
+    {
+        return {};
+    }
     void handleFailedTarget(const TargetId &) override
     {
         // A call waits for a single target, whose failure its own connection or timeout detects.
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -60,6 +60,11 @@
     return retryBudgetOf(context, service).available >= 1;
 }
 
+bool mayConsumeServiceRetry(RelayContext &context, const ServiceName &service, bool hasMoreUrgentStreams)
+{
+    return mayConsumeRetry(retryBudgetOf(context, service), hasMoreUrgentStreams);
+}
+
 bool hasAmpleRetryBudget(RelayContext &context, const ServiceName &service)
 {
     const RetryBudget &budget = retryBudgetOf(context, service);
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -5,6 +5,7 @@
 #include "generated/settings.h"
 #include "policy/crashing_requests.h"
 #include "policy/fleet.h"
+#include "policy/recovery_order.h"
 #include "policy/routes.h"
 #include "policy/shared_budget.h"
 #include "policy/silence.h"
@@ -44,6 +45,10 @@
     std::uint64_t &pauseRequests = all.counter("parsley_relay_pause_requests", "Refusals of targets that want no other request for a time.");
     std::uint64_t &sendsInPauses = all.counter("parsley_relay_sends_in_pauses", "Requests sent to targets in such a time.");
     std::uint64_t &quarantined = all.counter("parsley_relay_quarantined", "Requests refused because they crash targets.");
+    std::uint64_t &recoveryMoves = all.counter("parsley_relay_recovery_moves", "Streams of lost engines moved at once, as they would be on time.");
+    std::uint64_t &recoveryRestarts = all.counter("parsley_relay_recovery_restarts", "Streams of lost engines restarted because a move would be late.");
+    std::uint64_t &recoveryGiveWays = all.counter("parsley_relay_recovery_give_ways", "Streams of lost engines that gave way to others, as they were late.");
+    std::uint64_t &retriesLeft = all.counter("parsley_relay_retries_left", "Retries that streams left to more urgent ones.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
     double &openRequests = all.gauge("parsley_relay_open_requests", "Requests being answered.");
@@ -67,6 +72,7 @@
     CrashingRequests crashingRequests{}; ///< requests, and parts of prompts, that were open at crashes of targets
     EntryCount entryCount{};             ///< number of entries that share budgets
     bool hasRetryShare = false;          ///< this entry was granted its full share of the retry budgets
+    LostEngines lostEngines{};           ///< engines whose streams are being recovered
 };
 
 /// Records how many other entries are reachable now; the highest number counts.
@@ -77,6 +83,8 @@
 bool tryConsumeServiceRetry(RelayContext &context, const ServiceName &service);
 /// Whether a retry is left in this entry's share of the service's budget; consumes nothing.
 bool hasRetryBudget(RelayContext &context, const ServiceName &service);
+/// Whether a stream of the service may consume a retry; see mayConsumeRetry() in policy/recovery_order.h. Consumes nothing.
+bool mayConsumeServiceRetry(RelayContext &context, const ServiceName &service, bool hasMoreUrgentStreams);
 /// Whether more than half of this entry's share is left. Optional retries are made only then.
 bool hasAmpleRetryBudget(RelayContext &context, const ServiceName &service);
 /// Adds a request to the service's retry budget, which grows with the number of requests.
--- a/src/relay/forwarded_request.cpp
+++ b/src/relay/forwarded_request.cpp
@@ -129,6 +129,7 @@
     context.metrics.firstByte.record(std::chrono::duration<double>(response.firstByteAt - receivedAt).count());
     logEvent(Event::RequestServed, {{"id", request.attemptId},
                                     {"route", request.route->name},
+                                    {"priority", std::to_string(request.priority)},
                                     {"workspace", request.workspace.value},
                                     {"target", response.target},
                                     {"status", std::to_string(response.status)},
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -7,6 +7,7 @@
 // request that may have run can be retried depends on its route alone.
 #pragma once
 
+#include "policy/recovery_order.h"
 #include "policy/routes.h"
 #include "policy/silence.h"
 #include "relay/caller_session.h"
@@ -39,6 +40,14 @@
     int number = 0; ///< of the requests that the forwarding has sent
 };
 
+/// How urgent a request is when it has to be recovered from a lost engine.
+struct RecoveryState {
+    const ServiceSpec *service = nullptr; ///< null if the request can't be recovered
+    LostStream urgency{};
+    TimePoint givesWayUntil{}; ///< zero: it does not give way
+    std::string_view id;       ///< attempt id
+};
+
 /// A request being forwarded.
 class Forwarding : public std::enable_shared_from_this<Forwarding>
 {
@@ -57,6 +66,7 @@
     virtual void abandon() = 0;
     /// The engines that currently process the request, and when it last made progress.
     virtual StreamActivity activity() const = 0;
+    virtual RecoveryState recoveryState(TimePoint now) const = 0;
 };
 using ForwardingPtr = std::shared_ptr<Forwarding>;
 
@@ -80,6 +90,10 @@
     std::function<void(const TargetId &engine)> requestEngineReport;
     /// Orders a request's first engine to continue through another chain; `done` gets whether the engine accepted.
     std::function<void(const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done)> moveStream;
+    /// Recovers a stream together with the others of the current event loop iteration, in order of urgency; see RecoveryQueue.
+    std::function<void(const LostStream &stream, std::function<void()> recover)> recoverInOrder;
+    /// Whether streams of the service that are more urgent than `priority` are open at this relay.
+    std::function<bool(const ServiceName &service, int priority)> hasMoreUrgentStreams;
 };
 
 ForwardingPtr makeForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,7 @@
 #include "relay/registry.h"
 #include "relay/relay_peers.h"
 #include "relay/request_inputs.h"
+#include "relay/stream_recovery.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
@@ -65,6 +66,7 @@
     std::unique_ptr<HttpServer> readinessServer{};
     std::unique_ptr<HttpServer> metricsServer{};
     std::unique_ptr<HttpServer> peerServer{};
+    std::unique_ptr<RecoveryQueue> recoveryQueue{};
     std::unique_ptr<Timer> forwardingTimer{};
     std::unique_ptr<Timer> leaveTimer{};
     std::unique_ptr<Timer> drainTimer{};
@@ -234,7 +236,7 @@
 
 void Relay::Private::moveStreamsFrom(const TargetId &unresponsive)
 {
-    for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(forwardings)) {
+    for (const ForwardingPtr &forwarding : orderedStreamsOf(context, forwardings, unresponsive)) {
         forwarding->handleFailedTarget(unresponsive);
     }
 }
@@ -395,6 +397,13 @@
     data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done) {
         data.moveStream(attemptId, chain, std::move(done));
     };
+    data.recoveryQueue = std::make_unique<RecoveryQueue>(loop);
+    data.hooks.recoverInOrder = [&data](const LostStream &stream, std::function<void()> recover) {
+        data.recoveryQueue->add(stream, std::move(recover));
+    };
+    data.hooks.hasMoreUrgentStreams = [&data](const ServiceName &service, int priority) {
+        return hasMoreUrgentStreams(data.forwardings, service, priority, data.context.clock.now());
+    };
     data.hooks.checkForCrash = [&data](const TargetId &target, std::function<void(TargetCondition)> done) {
         data.crashGuard->checkForCrash(target, std::move(done));
     };
@@ -584,6 +593,7 @@
     state["maxCallerConnections"] = d->admission->maxConnections();
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
     state["timerLagMs"] = d->admission->overload().averageLagMs;
+    state["recovery"] = recoveryDump(context, d->forwardings, now);
     state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -10,6 +10,7 @@
 #include "relay/chain_search.h"
 #include "relay/request_inputs.h"
 #include "relay/stream_demand.h"
+#include "relay/stream_recovery.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -76,12 +77,23 @@
         const bool usesEngines = !m_isOver && !m_chain.empty();
         return {usesEngines ? &m_chain : nullptr, m_lastProgressAt, m_hasEvents};
     }
+    RecoveryState recoveryState(TimePoint now) const override;
 
 private:
     ChainSelectionContext makeSelectionContext() const;
     void startAttempt();
     void startOnChain(std::vector<ChainStage> chain);
+    std::vector<ChainStage> findMove();
+    void moveTo(std::vector<ChainStage> chain, double multiplier);
     bool startMove();
+    double tokensSoFar() const;
+    void queueRecovery(std::function<void()> recover);
+    bool recover(const TargetId &lost);
+    RecoveryAction chooseAction(const StreamMove &move);
+    void giveWay(const StreamMove &move);
+    void checkGivingWay(TimePoint now);
+    void endGivingWay();
+    bool isRetryReserved() const;
     bool isLeaveDue(TimePoint now);
     void handleMoveResult(bool isMoved, int move, const std::vector<ChainStage> &previousChain);
     int startedAttempts() const;
@@ -137,10 +149,15 @@
     bool m_hasEvents = false;     ///< events of this attempt were relayed
     int m_eventsOfAttempt = 0;    ///< number of events of this attempt that were relayed
     bool m_isReserved = false;
-    bool m_isWaitingForChain = false; ///< the response has begun, and there is no chain to continue it
-    TimePoint m_moveAttemptedAt{};    ///< last search for another chain for the running request
-    int m_moves = 0;                  ///< identifies the last move; results of earlier ones are ignored
-    bool m_isEventMissing = false;    ///< an event is missing, so that this attempt can't be relayed
+    bool m_isWaitingForChain = false;  ///< the response has begun, and there is no chain to continue it
+    TimePoint m_moveAttemptedAt{};     ///< last search for another chain for the running request
+    int m_moves = 0;                   ///< identifies the last move; results of earlier ones are ignored
+    TimePoint m_givesWayUntil{};       ///< latest time of the move of a stream that gives way; zero: it does not
+    std::vector<ChainStage> m_awaited; ///< stages whose engines it waits for while it gives way
+    double m_recoveryMultiplier = 1;   ///< of the engine that it lost, while it gives way
+    bool m_isRecoveryQueued = false;   ///< it is recovered at the end of this event loop iteration
+    int m_recoveries = 0;              ///< identifies the last queued recovery; earlier ones are ignored
+    bool m_isEventMissing = false;     ///< an event is missing, so that this attempt can't be relayed
 };
 
 /// A stream is not retried after this many refusals by engines: each costs a round trip and a share of the retry budget.
@@ -243,6 +260,9 @@
     if (m_lastEventId > m_resumeAfterId) {
         added.push_back({names.lastEventId, std::to_string(m_lastEventId)});
     }
+    if (service.hasPriorities) {
+        added.push_back({names.requestPriority, std::to_string(m_request.priority)});
+    }
     m_bufferedBody.clear();
     m_isStream = false;
     m_hasEvents = false;
@@ -261,6 +281,9 @@
     }
     // A move that was not answered yet concerned this attempt. Its result must not replace the chain of the next one.
     ++m_moves;
+    ++m_recoveries;
+    m_isRecoveryQueued = false;
+    m_givesWayUntil = TimePoint();
     cancelExchange();
 }
 
@@ -312,6 +335,7 @@
         return;
     }
     const TimePoint now = m_context.clock.now();
+    m_givesWayUntil = TimePoint(); // the engines of the chain work again
     if (!m_request.exchange->isBegun()) {
         m_firstByteAt = now;
         m_request.exchange->begin(m_exchange->head(), nullptr);
@@ -454,7 +478,11 @@
         avoidTarget(m_context, m_chain.front().id, failure.text);
         m_hooks.requestEngineReport(m_chain.front().id);
     }
-    retryOrEnd(failure.text, failure.mayHaveRun);
+    // The connections of a lost engine close together: the most urgent streams get the retry budget.
+    endAttempt();
+    queueRecovery([this, reason = failure.text, mayHaveRun = failure.mayHaveRun] {
+        retryOrEnd(reason, mayHaveRun);
+    });
 }
 
 void StreamForwarding::retryOrEnd(std::string_view reason, bool mayHaveRun)
@@ -464,10 +492,23 @@
     const bool isAllowed = m_mayHaveRun ? canRetryAfterRun() : !findQuarantinedInput(m_context, m_request);
     const bool hasTime = m_context.clock.now() + minAttemptTime < m_request.deadline;
     const bool hasAttempts = m_attempts < m_request.route->maxAttempts && m_refusals < maxRefusals;
-    if (isAllowed && hasTime && hasAttempts && tryConsumeServiceRetry(m_context, m_request.service->name)) {
+    const bool isReserved = isAllowed && hasTime && hasAttempts && isRetryReserved();
+    if (isAllowed && hasTime && hasAttempts && !isReserved && tryConsumeServiceRetry(m_context, m_request.service->name)) {
         recordRetry(m_context, m_request, reason, firstTarget(), m_attempts);
         return startAttempt();
     }
+    if (isReserved) {
+        ++m_context.metrics.retriesLeft;
+        logEvent(
+            Event::RetryLeft,
+            {{"id", m_request.attemptId}, {"route", m_request.route->name}, {"priority", std::to_string(m_request.priority)}, {"reason", std::string(reason)}});
+    }
+    if (isReserved && m_request.exchange->isBegun()) {
+        // The more urgent streams often end, or requests earn further retries, before the caller disconnects.
+        m_isWaitingForChain = true;
+        m_chain.clear();
+        return;
+    }
     if (isAllowed && hasTime && !mayHaveRun && m_request.exchange->isBegun()) {
         // This attempt has not run, and the caller has received a part of its response: wait, as a chain and a retry often become
         // available before it disconnects.
@@ -488,7 +529,7 @@
 /// Chains through other data centres are excluded: the activations of all tokens so far would be transferred, some 15 MB a
 /// stream, and the streams of one lost engine would fill the shared link for ten seconds or more. Processing the prompt again
 /// elsewhere takes a tenth of a second.
-bool StreamForwarding::startMove()
+std::vector<ChainStage> StreamForwarding::findMove()
 {
     ChainTuning localTuning;
     localTuning.allowsCrossDataCenter = false;
@@ -496,23 +537,171 @@
     selectionContext.current = m_chain;
     reserve(-1);
     std::vector<ChainStage> chain = selectChain(m_context.fleet, selectionContext, m_demand, m_context.random, localTuning);
-    if (chain.empty()) {
-        reserve(+1);
-        return false;
-    }
-    m_chain = std::move(chain);
     reserve(+1);
-    m_moveAttemptedAt = selectionContext.now;
-    m_chainSince = selectionContext.now;
+    return chain;
+}
+
+/// Orders the first engine to continue through `chain`. The tokens that its other engines have to process are multiplied by
+/// `multiplier` in their forecast; see recoveryMultiplier().
+void StreamForwarding::moveTo(std::vector<ChainStage> chain, double multiplier)
+{
+    addPrefillOfMove(m_context, *m_request.service->engine, {m_chain, chain, tokensSoFar(), multiplier});
+    reserve(-1);
+    std::vector<ChainStage> previousChain = std::exchange(m_chain, std::move(chain));
+    reserve(+1);
+    m_moveAttemptedAt = m_context.clock.now();
+    m_chainSince = m_moveAttemptedAt;
     const int move = ++m_moves;
-    m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move, previousChain = std::move(selectionContext.current)](bool isMoved) {
+    m_hooks.moveStream(m_request.attemptId, m_chain, [weak = weak_from_this(), this, move, previousChain = std::move(previousChain)](bool isMoved) {
         if (const auto self = weak.lock()) {
             handleMoveResult(isMoved, move, previousChain);
         }
     });
+}
+
+/// Moves the stream off an engine that still works, if there is another chain.
+bool StreamForwarding::startMove()
+{
+    std::vector<ChainStage> chain = findMove();
+    if (chain.empty()) {
+        return false;
+    }
+    moveTo(std::move(chain), 1);
     return true;
 }
 
+/// Tokens that an engine without the stream's KV cache has to process.
+double StreamForwarding::tokensSoFar() const
+{
+    return m_demand.promptTokens + static_cast<double>(m_lastEventId) * m_request.service->engine->stepsPerPass;
+}
+
+RecoveryState StreamForwarding::recoveryState(TimePoint now) const
+{
+    const Route &route = *m_request.route;
+    const bool isBegun = m_request.exchange->isBegun();
+    const milliseconds target = isBegun ? route.targetGap : route.targetLatency;
+    const TimePoint since = isBegun ? m_lastEventAt : m_request.exchange->receivedAt();
+    LostStream urgency{m_request.service->hasPriorities, m_request.priority};
+    if (target > milliseconds(0)) {
+        urgency.msLeft = std::chrono::duration<double, std::milli>(since + target - now).count();
+    }
+    return {m_request.service, urgency, m_givesWayUntil, m_request.attemptId};
+}
+
+/// Calls `recover` together with the recoveries of other streams in this event loop iteration, in order of urgency. Without
+/// priorities the streams are recovered as they come.
+void StreamForwarding::queueRecovery(std::function<void()> recover)
+{
+    if (!m_request.service->hasPriorities) {
+        return recover();
+    }
+    m_isRecoveryQueued = true;
+    const LostStream urgency = recoveryState(m_context.clock.now()).urgency;
+    m_hooks.recoverInOrder(urgency, [weak = weak_from_this(), this, number = ++m_recoveries, recover = std::move(recover)] {
+        const auto self = weak.lock();
+        if (self && !m_isOver && number == m_recoveries) {
+            m_isRecoveryQueued = false;
+            recover();
+        }
+    });
+}
+
+/// Recovers the running request from the loss of an engine behind the first one: by a move, a restart, or by giving way to streams
+/// that can still be on time. Returns false if it can't be moved.
+bool StreamForwarding::recover(const TargetId &lost)
+{
+    const double multiplier = rememberedMultiplier(m_context.lostEngines, m_context.fleet, lost, m_context.clock.now());
+    std::vector<ChainStage> chain = findMove();
+    if (chain.empty()) {
+        return false;
+    }
+    const StreamMove move{m_chain, chain, tokensSoFar(), multiplier};
+    const ServiceSpec &service = *m_request.service;
+    const bool hasForecast = service.hasPriorities && service.engine->prefillChunkTokens > 0;
+    switch (hasForecast ? chooseAction(move) : RecoveryAction::Move) {
+    case RecoveryAction::Move:
+        m_context.metrics.recoveryMoves += hasForecast ? 1 : 0;
+        moveTo(std::move(chain), multiplier);
+        break;
+    case RecoveryAction::Restart:
+        ++m_context.metrics.recoveryRestarts;
+        restartOnOtherChain("a move would be late");
+        break;
+    case RecoveryAction::GiveWay:
+        ++m_context.metrics.recoveryGiveWays;
+        giveWay(move);
+        break;
+    }
+    return true;
+}
+
+RecoveryAction StreamForwarding::chooseAction(const StreamMove &move)
+{
+    const ServiceSpec &service = *m_request.service;
+    RecoveryForecast forecast;
+    forecast.msLeft = recoveryState(m_context.clock.now()).urgency.msLeft;
+    forecast.moveMs = eventDelayOfMove(m_context, *service.engine, move);
+    // More than half of the budget must be left, as it is needed more for streams that can't be moved.
+    if (forecast.moveMs > forecast.msLeft && canRestart() && hasAmpleRetryBudget(m_context, service.name)) {
+        forecast.restartMs = eventDelayOfStart(m_context, findChain(m_context, service, makeSelectionContext(), m_demand));
+    }
+    const RecoveryAction action = chooseRecovery(forecast);
+    logEvent(Event::RecoveryChosen, {{"id", m_request.attemptId},
+                                     {"route", m_request.route->name},
+                                     {"priority", std::to_string(m_request.priority)},
+                                     {"action", toString(action)},
+                                     {"left_ms", std::to_string(forecast.msLeft)},
+                                     {"move_ms", std::to_string(forecast.moveMs)},
+                                     {"restart_ms", std::to_string(forecast.restartMs)}});
+    return action;
+}
+
+void StreamForwarding::giveWay(const StreamMove &move)
+{
+    const TimePoint lastEventAt = m_request.exchange->isBegun() ? m_lastEventAt : m_lastProgressAt;
+    m_givesWayUntil = giveWayUntil(m_context.clock.now(), lastEventAt, m_request.route->targetGap);
+    m_awaited = addedStages(move);
+    m_recoveryMultiplier = move.multiplier;
+}
+
+/// Moves a stream that gives way once it is its turn. Of streams whose turn comes together, each sees the backlog of those before it.
+void StreamForwarding::checkGivingWay(TimePoint now)
+{
+    if (isGiveWayOver(m_givesWayUntil, largestBacklogMs(m_context, m_awaited), now)) {
+        queueRecovery([this] {
+            endGivingWay();
+        });
+    }
+}
+
+void StreamForwarding::endGivingWay()
+{
+    const double backlogMs = largestBacklogMs(m_context, m_awaited);
+    if (m_givesWayUntil == TimePoint() || !isGiveWayOver(m_givesWayUntil, backlogMs, m_context.clock.now())) {
+        return;
+    }
+    m_givesWayUntil = TimePoint();
+    m_moveAttemptedAt = m_context.clock.now();
+    logEvent(Event::GiveWayOver, {{"id", m_request.attemptId},
+                                  {"priority", std::to_string(m_request.priority)},
+                                  {"backlog_ms", std::to_string(backlogMs)},
+                                  {"gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(m_moveAttemptedAt - m_lastProgressAt).count())}});
+    std::vector<ChainStage> chain = findMove();
+    if (chain.empty()) {
+        return restartOnOtherChain("engine of the chain is dead");
+    }
+    moveTo(std::move(chain), m_recoveryMultiplier);
+}
+
+/// Whether the retries that are left are reserved for more urgent streams.
+bool StreamForwarding::isRetryReserved() const
+{
+    const ServiceSpec &service = *m_request.service;
+    const bool isScarce = hasRetryBudget(m_context, service.name) && !mayConsumeServiceRetry(m_context, service.name, true);
+    return service.hasPriorities && isScarce && m_hooks.hasMoreUrgentStreams(service.name, m_request.priority);
+}
+
 /// Whether the stream is to leave an engine now: released layers at once, a draining engine after a random delay.
 bool StreamForwarding::isLeaveDue(TimePoint now)
 {
@@ -533,7 +722,8 @@
 /// loads others. Leaving early costs processing the tokens once more; leaving late costs a stall.
 void StreamForwarding::moveOffLeavingEngines()
 {
-    if (m_isOver || !m_hasEvents || !m_exchange) {
+    const bool isRecovering = m_isRecoveryQueued || m_givesWayUntil != TimePoint();
+    if (m_isOver || !m_hasEvents || !m_exchange || isRecovering) {
         return;
     }
     const TimePoint now = m_context.clock.now();
@@ -583,7 +773,11 @@
     }
     m_excluded.insert(id);
     const bool isFirst = m_chain.front().id == id;
-    if (isFirst || !startMove()) {
+    const bool isRecovering = m_isRecoveryQueued || (m_givesWayUntil != TimePoint() && !isFirst);
+    if (isRecovering) {
+        return;
+    }
+    if (isFirst || !recover(id)) {
         restartOnOtherChain("engine of the chain is dead");
     }
 }
@@ -598,7 +792,8 @@
 bool StreamForwarding::canRestart() const
 {
     const bool hasTime = m_context.clock.now() + minAttemptTime < m_request.deadline;
-    return canRetryAfterRun() && startedAttempts() < m_request.route->maxAttempts && hasTime && hasRetryBudget(m_context, m_request.service->name);
+    return canRetryAfterRun() && startedAttempts() < m_request.route->maxAttempts && hasTime && hasRetryBudget(m_context, m_request.service->name)
+           && !isRetryReserved();
 }
 
 /// Restarts the stream on another chain after its last event, if attempts, time and retry budget allow it. Otherwise the
@@ -623,6 +818,9 @@
         return;
     }
     m_chainSearchedAt = now;
+    if (isRetryReserved()) {
+        return;
+    }
     // The search consumes nothing; a retry is consumed only if there is a chain.
     std::vector<ChainStage> chain = findAdmittedChain(m_context, *m_request.service, makeSelectionContext(), m_demand);
     if (!chain.empty() && tryConsumeServiceRetry(m_context, m_request.service->name)) {
@@ -667,15 +865,26 @@
         failRequest(m_context, m_request, "time is up", firstTarget(), m_attempts);
         return end();
     }
+    if (m_isRecoveryQueued) {
+        return;
+    }
     if (m_isWaitingForChain) {
         return retryChainSearch(now);
     }
+    if (m_givesWayUntil != TimePoint()) {
+        return checkGivingWay(now);
+    }
     const bool isMoveDue = now - m_lastProgressAt >= stallThreshold(m_context.averageEventGapMs) && now - m_moveAttemptedAt >= moveRetryInterval;
     // A stream that can't be restarted, because its attempts or the retry budget are used up, stays at its first engine until others
     // hold the lost layers again.
-    if (isMoveDue && hasFailedStage(m_context.fleet, m_chain, now)) {
+    if (const ChainStage *lost = isMoveDue ? findFailedStage(m_context.fleet, m_chain, now) : nullptr) {
         m_moveAttemptedAt = now;
-        if (startMove()) {
+        if (m_request.service->hasPriorities) {
+            return queueRecovery([this, id = lost->id] {
+                recover(id);
+            });
+        }
+        if (recover(TargetId(lost->id))) {
             return;
         }
     }
--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -36,6 +36,7 @@
     int next = 1;               ///< id of the next event to send
     bool crashesEngine = false; ///< its prompt has a part that crashes engines
     std::unique_ptr<Timer> eventTimer;
+    TimePoint resumesAt{};         ///< when the engines have processed its tokens after a move
     TimePoint stalledAt{};         ///< when it began to stall; the epoch if it makes progress
     std::string unavailableEngine; ///< address of the first unavailable engine; empty if none
 };
@@ -51,6 +52,7 @@
     std::unique_ptr<Timer> loadTimer;
     std::uint64_t orderCount = 0; ///< placement orders accepted
     bool isBusy = false;          ///< loads a layer range
+    TimePoint prefillUntil{};     ///< processes the tokens of moved streams until then
     bool isUnresponsive = false;
     bool isDead = false;
     bool refusesNewStreams = false;
@@ -82,6 +84,9 @@
     std::set<ConnectionPtr> closing; ///< closed by an engine, with bytes that may still have to be sent
     std::string crashingPart;        ///< part of a prompt that crashes engines; empty: none
     std::vector<TimePoint> arrivalsOfCrashingPart;
+    std::vector<std::string> movedIds;
+    std::vector<std::string> startedIds;
+    std::map<std::string, std::string> priorities; ///< by request
     std::vector<TimePoint> crashesByPromptPart;
     TimePoint eventsHeldUntil{};
     bool dropsOrderResponses = false;
@@ -109,6 +114,7 @@
     void order(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
     void place(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
     void move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body);
+    void prefillMoved(EngineStream &stream, const std::vector<EngineStage> &chain);
     void report(ChainEngine &engine, const ConnectionPtr &connection);
     void dropStreams(const ConnectionPtr &connection);
 };
@@ -201,6 +207,8 @@
     parseNumber(head.find("Last-Event-Id"), last);
     stream->next = last + 1;
     ++startedStreams;
+    startedIds.push_back(stream->id);
+    priorities[stream->id] = std::string(head.find("X-Request-Priority"));
     engine.streamStarts.push_back(std::chrono::steady_clock::now());
     std::string statements = engine.namedLimit > 0 ? absl::StrCat("\r\nServer-Limit: ", engine.namedLimit) : std::string();
     statements += engine.saysLeaving ? "\r\nServer-Leaving: 1" : "";
@@ -247,7 +255,7 @@
     }
     stream->unavailableEngine = findUnavailableEngine(stream->chain);
     const TimePoint now = std::chrono::steady_clock::now();
-    if (now < eventsHeldUntil) {
+    if (now < eventsHeldUntil || now < stream->resumesAt) {
         return;
     }
     if (!stream->unavailableEngine.empty()) {
@@ -341,6 +349,21 @@
     }
 }
 
+/// Lets the engines that the stream did not use before process its tokens after those of the streams moved there earlier.
+void ChainEngines::Private::prefillMoved(EngineStream &stream, const std::vector<EngineStage> &chain)
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const EngineStage &stage : chain) {
+        const bool isKept = std::any_of(stream.chain.begin(), stream.chain.end(), [&stage](const EngineStage &old) {
+            return old.address == stage.address;
+        });
+        if (ChainEngine *engine = isKept ? nullptr : engineAt(stage.address)) {
+            engine->prefillUntil = std::max(now, engine->prefillUntil) + options.prefillTime;
+            stream.resumesAt = std::max(stream.resumesAt, engine->prefillUntil);
+        }
+    }
+}
+
 void ChainEngines::Private::move(ChainEngine &engine, const ConnectionPtr &connection, const Json &body)
 {
     if (engine.ignoresMoves) {
@@ -356,8 +379,10 @@
             return answer(connection, 409, {});
         }
         invalidChains += coversAllLayers(chain) ? 0 : 1;
+        prefillMoved(*stream, chain);
         stream->chain = chain;
         ++movedStreams;
+        movedIds.push_back(stream->id);
         return answer(connection, 200, {});
     }
     answer(connection, 404, {});
@@ -582,6 +607,22 @@
     return d->movedStreams;
 }
 
+const std::vector<std::string> &ChainEngines::movedIds() const
+{
+    return d->movedIds;
+}
+
+const std::vector<std::string> &ChainEngines::startedIds() const
+{
+    return d->startedIds;
+}
+
+std::string ChainEngines::requestPriority(const std::string &id) const
+{
+    const auto it = d->priorities.find(id);
+    return it == d->priorities.end() ? std::string() : it->second;
+}
+
 int ChainEngines::acceptedPlacements() const
 {
     return d->acceptedPlacements;
--- a/stand-ins/chain_engines.h
+++ b/stand-ins/chain_engines.h
@@ -37,6 +37,7 @@
     milliseconds eventInterval{10}; ///< time between two events of a stream
     milliseconds loadTime{30};      ///< time to load a layer range after an order
     milliseconds stallTimeout{600}; ///< a stream whose chain has an unavailable engine is closed after this time
+    milliseconds prefillTime{0};    ///< time that an engine takes for each stream moved to it, one after the other
     StreamFraming framing = StreamFraming::Chunked;
 };
 
@@ -97,6 +98,11 @@
     int ignoredMoves() const;
     /// Orders to move a stream that were executed.
     int movedStreams() const;
+    /// Ids of the requests in the order in which they were moved, and of the accepted ones in the order in which they were started.
+    const std::vector<std::string> &movedIds() const;
+    const std::vector<std::string> &startedIds() const;
+    /// Priority with which a request was last started; empty if it had none.
+    std::string requestPriority(const std::string &id) const;
     /// Orders to load a range: accepted ones, and ones refused because the engine was busy or the number of orders that it
     /// had accepted was not the expected one.
     int acceptedPlacements() const;
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -200,7 +200,7 @@
 
 void RelaySystem::registerTarget(const std::string &id, const std::string &service, const Address &address, const std::string &state)
 {
-    RegisteredTarget target{{id}, {service}, address, "dc-1", state == "draining", 6, {}, {}, 1000};
+    RegisteredTarget target{{id}, {service}, address, "dc-1", state == "draining", d->options.slots, {}, {}, 1000};
     if (service == "chat") {
         target.accelerator = "small";
         target.layers = d->engines.layers(id);
@@ -275,6 +275,14 @@
     Json stream = route("r-chat", "/chat/", "streaming", "chat", 2);
     stream["resumable"] = true;
     stream["timeoutMs"] = 20000;
+    Json batch = stream;
+    if (d->options.hasPriorities) {
+        stream["targetGapMs"] = 250;
+        batch = stream;
+        batch["name"] = "r-batch";
+        batch["prefix"] = "/batch/";
+        batch["priority"] = 7;
+    }
     Json unresumable = route("r-talk", "/talk/", "streaming", "chat", 2);
     unresumable["timeoutMs"] = 20000;
     const Json feed = route("r-feed", "/feed/", "streaming", "shop", 2);
@@ -282,21 +290,26 @@
     open["public"] = true;
     // Large enough that only a single copy of the model leaves memory for 192 streams: the loss of an engine leaves a coverage gap.
     constexpr int kvTokenBytes = 45000;
-    const Json engine = {{"batchSlots", 192},
-                         {"kvTokenBytes", kvTokenBytes},
-                         {"stride", 1},
-                         {"models", Json::array({{{"name", "m"}, {"loadS", 1.0}}})},
-                         {"step_ms", 1.0},
-                         {"per_seq_ms", 0.001},
-                         {"read_per_s", 100000.0},
-                         {"loads_at_once", 6},
-                         {"usual", {{"prompt", 100}, {"answer", 20}}},
-                         {"layers", layers},
-                         {"layerMb", 100.0},
-                         {"kinds", Json::array({{{"name", "small"}, {"mb", 640.0}, {"pace", 1.0}, {"readX", 1.0}}})}};
+    Json engine = {{"batchSlots", 192},
+                   {"kvTokenBytes", kvTokenBytes},
+                   {"stride", 1},
+                   {"models", Json::array({{{"name", "m"}, {"loadS", 1.0}}})},
+                   {"step_ms", 1.0},
+                   {"per_seq_ms", 0.001},
+                   {"read_per_s", d->options.prefillTokensPerMs * 1000},
+                   {"loads_at_once", 6},
+                   {"usual", {{"prompt", 100}, {"answer", 20}}},
+                   {"layers", layers},
+                   {"layerMb", 100.0},
+                   {"kinds", Json::array({{{"name", "small"}, {"mb", 640.0}, {"pace", 1.0}, {"readX", 1.0}}})}};
+    Json routes = Json::array(
+        {route("r-book", "/book/", "non_idempotent", "shop", 1), route("r-read", "/read/", "idempotent", "shop", 2), stream, unresumable, feed, open});
+    if (d->options.hasPriorities) {
+        routes.push_back(batch);
+        engine["chunk"] = 512;
+    }
     const Json configuration = {{"version", version},
-                                {"routes", Json::array({route("r-book", "/book/", "non_idempotent", "shop", 1),
-                                                        route("r-read", "/read/", "idempotent", "shop", 2), stream, unresumable, feed, open})},
+                                {"routes", routes},
                                 {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
                                                           {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
                                 {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
@@ -401,6 +414,11 @@
     return call("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n" + extraFields);
 }
 
+RawCallPtr RelaySystem::lessUrgentStream(const std::string &id, const std::string &extraFields)
+{
+    return call("POST", "/batch/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n" + extraFields);
+}
+
 RawCallPtr RelaySystem::unresumableStream(const std::string &id, const std::string &httpVersion)
 {
     std::string text = request("POST", "/talk/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n");
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -46,6 +46,9 @@
     StandIn::ChainEnginesOptions engineOptions;     ///< options of all engines
     int version = 1;                                ///< version of the configuration
     milliseconds callTimeout{2000};                 ///< timeout of the routes of plain services
+    bool hasPriorities = false;                     ///< adds a route of less urgent streams; all stream routes have a target gap of 250 ms
+    int slots = 6;                                  ///< concurrent requests of each target
+    double prefillTokensPerMs = 100;                ///< of the engines, as configured
     std::function<void(RelaySettings &)> tuneRelay; ///< changes the settings of each relay before its start
 };
 
@@ -90,6 +93,8 @@
     RawCallPtr call(const std::string &method, const std::string &path, const std::string &id, const std::string &body = {},
                     const std::string &extraFields = {});
     RawCallPtr stream(const std::string &id, const std::string &extraFields = {});
+    /// The same on the route of less urgent streams.
+    RawCallPtr lessUrgentStream(const std::string &id, const std::string &extraFields = {});
     /// The same on the route whose streams can't be resumed.
     RawCallPtr unresumableStream(const std::string &id, const std::string &httpVersion = "HTTP/1.1");
 
