Choice of the data centre of a stream by forecast, and a budget of the link that follows demand and delays

A stream leaves its data centre only if its first event would be late there and in time elsewhere. The share that leaves is adapted once a second; what an entry sends elsewhere in a second is limited to its share of the streams that still fit. The budget for chains across data centres is split by open requests instead of equally, and halved while the gaps of own streams on them are long.

Applies where the model states its chunk and the delays of links, and engines are in several data centres. Events 250 to 253, metrics and the state dump show the decisions.

makeCrossDataCenterBudget() takes a share instead of the number of entries; its test passes 1 / entries and checks the same.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -62,7 +62,8 @@
     for (const auto &[id, target] : fleet.targets) {
         const AcceleratorKind *kind = findKind(model, target.registered.accelerator);
         const bool serves = target.registered.service == context.service && target.registered.layers.count() > 0 && kind;
-        if (!serves || !isUsable(target, context.now) || context.excluded.contains(id)) {
+        const bool isElsewhere = !tuning.onlyDataCenter.empty() && target.registered.dataCenter != tuning.onlyDataCenter;
+        if (!serves || isElsewhere || !isUsable(target, context.now) || context.excluded.contains(id)) {
             continue;
         }
         Candidate candidate;
@@ -195,24 +196,25 @@
             }
         }
     }
-    std::vector<ChainStage> bestChain() const
+    RatedChain bestChain() const
     {
         std::size_t best = stateAt(boundaries.size() - 1, 0);
         for (std::size_t dataCenter = 1; dataCenter < dataCenters.size(); ++dataCenter) {
             const std::size_t state = stateAt(boundaries.size() - 1, dataCenter);
             best = states[state].cost < states[best].cost ? state : best;
         }
-        std::vector<ChainStage> chain;
+        RatedChain chain;
         if (states[best].candidate < 0) {
             return chain;
         }
+        chain.costMs = states[best].cost;
         for (std::size_t state = best; state >= dataCenters.size(); state = states[state].previous) {
             const int from = boundaries[states[state].previous / dataCenters.size()];
             const int to = boundaries[state / dataCenters.size()];
             const RegisteredTarget &registered = candidates[states[state].candidate].target->registered;
-            chain.push_back({registered.id, registered.address, {from, to}});
+            chain.stages.push_back({registered.id, registered.address, {from, to}});
         }
-        std::reverse(chain.begin(), chain.end());
+        std::reverse(chain.stages.begin(), chain.stages.end());
         return chain;
     }
 };
@@ -240,8 +242,8 @@
     return std::find(isHeld.begin(), isHeld.end(), false) == isHeld.end();
 }
 
-std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
-                                    const ChainTuning &tuning)
+RatedChain selectRatedChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                            const ChainTuning &tuning)
 {
     std::vector<std::string> dataCenters;
     const std::vector<Candidate> candidates = makeCandidates(fleet, context, random, tuning, dataCenters);
@@ -252,8 +254,8 @@
     const double tokens = plannedKvTokens(demand);
     ChainSearch search{candidates, boundaries, dataCenters, context, tuning, tokens, false};
     search.run();
-    std::vector<ChainStage> chain = search.bestChain();
-    if (hasRepeatedEngine(chain)) {
+    RatedChain chain = search.bestChain();
+    if (hasRepeatedEngine(chain.stages)) {
         // Engines refuse a chain that names one of them twice.
         search.usesRangeToEnd = true;
         search.run();
@@ -262,6 +264,12 @@
     return chain;
 }
 
+std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                                    const ChainTuning &tuning)
+{
+    return selectRatedChain(fleet, context, demand, random, tuning).stages;
+}
+
 void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now)
 {
     if (model.prefillChunkTokens <= 0) {
@@ -299,6 +307,7 @@
         ++freeCapacity.engines;
         const int open = totalOpenRequests(*candidate.target);
         freeCapacity.freeSlots += registered.layers.from == 0 ? std::max(0, static_cast<int>(registered.slots * tuning.slotLimit) - open) : 0;
+        freeCapacity.hasSlots = freeCapacity.hasSlots || (registered.layers.from == 0 && registered.slots > 0);
         const LayerRange held = registered.layers.within(model.layers);
         for (int layer = held.from; layer < held.to; ++layer) {
             streams[layer] += std::max(0.0, candidate.freeKvTokenLayers / (tokens * registered.layers.count()));
@@ -310,6 +319,11 @@
     return freeCapacity;
 }
 
+int fittingStreams(const DataCenterFreeCapacity &capacity)
+{
+    return capacity.hasSlots ? std::min(capacity.streams, capacity.freeSlots) : capacity.streams;
+}
+
 FleetFreeCapacity freeCapacityLeft(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand)
 {
     std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): costs don't matter
--- a/src/policy/chain_selection.h
+++ b/src/policy/chain_selection.h
@@ -45,6 +45,7 @@
     TimePoint now{};                    ///< engines that are avoided at this time are left out
     std::set<TargetId> excluded;        ///< engines that already failed this request
     std::set<TargetId> excludedAsFirst; ///< engines that must not be the first of the chain
+    TimePoint nextEventDue{};           ///< when the caller should have the next event; zero: no target. See policy/data_center_choice.h
     std::vector<ChainStage> current;    ///< chain of a running request: its first stage is kept, the others if possible; empty for a new request
 };
 
@@ -57,6 +58,8 @@
     double crossDataCenterHopMs = 400;
     /// Whether chains may span data centres; see policy/cross_data_center_budget.h.
     bool allowsCrossDataCenter = true;
+    /// Engines of all other data centres are left out; empty: none are.
+    std::string onlyDataCenter{};
     /// Cost of a chain that begins in another data centre than the entry. Only the bytes of events cross the link, but the
     /// selection uses loads that all entries share and that are some hundred milliseconds old: without this cost the entries of
     /// all data centres would select the same few engines until the next report. It exceeds the cost of a loaded chain, so that
@@ -84,6 +87,15 @@
 /// Memory of an engine that its layers leave for KV cache, tokens x layers; 0 if its accelerator is not configured.
 double kvCapacity(const EngineModel &model, const RegisteredTarget &registered);
 
+/// A chain and its cost.
+struct RatedChain {
+    std::vector<ChainStage> stages; ///< empty: there is none
+    double costMs = 0;              ///< time of a pass with all surcharges of ChainTuning
+};
+
+/// The chain with the lowest cost, with that cost; no stages if there is none.
+RatedChain selectRatedChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                            const ChainTuning &tuning = {});
 /// The chain with the lowest cost; empty if the usable engines don't cover all layers, or lack free KV cache or slots.
 std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
                                     const ChainTuning &tuning = {});
@@ -100,6 +112,7 @@
     std::string dataCenter;  ///< name of the data centre
     int engines = 0;         ///< usable engines
     int freeSlots = 0;       ///< free request slots of all engines that hold layer 0
+    bool hasSlots = false;   ///< an engine that holds layer 0 states its slots; otherwise they are not limited
     int streams = 0;         ///< further streams that fit the KV cache of its bottleneck layer
     int bottleneckLayer = 0; ///< layer with the least free KV cache; the first of several
 };
@@ -108,6 +121,8 @@
     std::vector<DataCenterFreeCapacity> dataCenters; ///< data centres with usable engines
     bool coversAllLayers = false;                    ///< whether usable engines hold all layers, full or not: tells a full fleet from uncovered layers
 };
+/// Streams that still fit the KV caches and, if they are limited, the slots of a data centre.
+int fittingStreams(const DataCenterFreeCapacity &capacity);
 FleetFreeCapacity freeCapacityLeft(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand);
 
 } // namespace Parsleytrail
--- a/src/relay/chain_search.cpp
+++ b/src/relay/chain_search.cpp
@@ -1,31 +1,48 @@
 #include "relay/chain_search.h"
 
 #include "policy/cross_data_center_budget.h"
+#include "relay/data_center_search.h"
 
 namespace Parsleytrail
 {
 
-std::vector<ChainStage> findChain(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
+/// Selects a chain within one data centre: by forecast where there is one, otherwise by cost.
+static StartChoice findChainInDataCenter(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
 {
+    if (choosesDataCenter(context, service)) {
+        return chooseStart(context, service, selection, demand);
+    }
     ChainTuning tuning;
     tuning.allowsCrossDataCenter = false;
-    std::vector<ChainStage> chain = selectChain(context.fleet, selection, demand, context.random, tuning);
-    if (chain.empty() && hasCrossDataCenterBudget(crossDataCenterBudget(context, service), selection.now)) {
-        tuning.allowsCrossDataCenter = true;
-        chain = selectChain(context.fleet, selection, demand, context.random, tuning);
+    StartChoice start;
+    start.chain = selectChain(context.fleet, selection, demand, context.random, tuning);
+    return start;
+}
+
+static StartChoice findStart(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
+{
+    StartChoice start = findChainInDataCenter(context, service, selection, demand);
+    if (start.chain.empty() && hasCrossDataCenterBudget(crossDataCenterBudget(context, service), selection.now)) {
+        start.chain = selectChain(context.fleet, selection, demand, context.random);
     }
-    return chain;
+    return start;
+}
+
+std::vector<ChainStage> findChain(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
+{
+    return findStart(context, service, selection, demand).chain;
 }
 
 std::vector<ChainStage> findAdmittedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand)
 {
     for (;;) {
-        std::vector<ChainStage> chain = findChain(context, service, selection, demand);
-        Target *first = chain.empty() ? nullptr : findTarget(context.fleet, chain.front().id);
+        const StartChoice start = findStart(context, service, selection, demand);
+        Target *first = start.chain.empty() ? nullptr : findTarget(context.fleet, start.chain.front().id);
         if (!first || admitRequest(context, *first)) {
-            return chain;
+            recordStart(context, service, start);
+            return start.chain;
         }
-        selection.excludedAsFirst.insert(chain.front().id);
+        selection.excludedAsFirst.insert(start.chain.front().id);
     }
 }
 
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "base/text.h"
-#include "policy/cross_data_center_budget.h"
 
 #include <algorithm>
 
@@ -33,6 +32,7 @@
 
 void recordReachableEntries(RelayContext &context, int reachable)
 {
+    context.peersHeardAt = reachable > 0 ? context.clock.now() : context.peersHeardAt;
     context.entryCount.mostPeersSeen = std::max(context.entryCount.mostPeersSeen, reachable);
 }
 
@@ -92,9 +92,16 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+bool hearsNoPeers(const RelayContext &context)
+{
+    const bool mayHavePeers = context.entryCount.mayHavePeers || context.entryCount.mostPeersSeen > 0;
+    return mayHavePeers && context.clock.now() - context.peersHeardAt >= maxReportAge;
+}
+
 TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service)
 {
-    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, entriesToShareWith(context.entryCount, context.clock.now()));
+    const double share = demandShare(context.fleet, service.name, hearsNoPeers(context), entriesToShareWith(context.entryCount, context.clock.now()));
+    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, share * context.observedLinks[service.name].rateFactor);
     TokenBucket &budget = context.crossDataCenterBudgets[service.name];
     budget.perSecond = configured.perSecond;
     budget.burst = configured.burst;
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -4,6 +4,8 @@
 #include "base/metrics.h"
 #include "generated/settings.h"
 #include "policy/crashing_requests.h"
+#include "policy/cross_data_center_budget.h"
+#include "policy/data_center_choice.h"
 #include "policy/fleet.h"
 #include "policy/routes.h"
 #include "policy/shared_budget.h"
@@ -43,6 +45,12 @@
     std::uint64_t &limitSkips = all.counter("parsley_relay_limit_skips", "Requests for which another target was looked for, because of such a limit.");
     std::uint64_t &pauseRequests = all.counter("parsley_relay_pause_requests", "Refusals of targets that want no other request for a time.");
     std::uint64_t &sendsInPauses = all.counter("parsley_relay_sends_in_pauses", "Requests sent to targets in such a time.");
+    std::uint64_t &streamsSentElsewhere = all.counter("parsley_relay_streams_sent_elsewhere", "Streams started in another data centre to be on time.");
+    std::uint64_t &streamsWithoutLocalChain =
+        all.counter("parsley_relay_streams_without_local_chain", "Streams started in another data centre for want of a local chain.");
+    std::uint64_t &lateStreamsKept = all.counter("parsley_relay_late_streams_kept", "Streams started in the own data centre although forecast to be late.");
+    std::uint64_t &linkRateReductions =
+        all.counter("parsley_relay_link_rate_reductions", "Reductions of the traffic between data centres, because of long gaps.");
     std::uint64_t &quarantined = all.counter("parsley_relay_quarantined", "Requests refused because they crash targets.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
@@ -60,11 +68,14 @@
     std::shared_ptr<const RouteTable> routes{}; ///< configuration in force; null until one was received
     std::unordered_map<ServiceName, RetryBudget> retryBudgets{};
     std::unordered_map<ServiceName, TokenBucket> crossDataCenterBudgets{};
+    std::unordered_map<ServiceName, ObservedLink> observedLinks{};
+    std::unordered_map<ServiceName, DataCenterChoice> dataCenterChoices{};
     std::mt19937_64 random{}; ///< seeded by the id and the start time, so that a run can be reproduced
     RelayMetrics metrics{};
     double averageEventGapMs = 50;       ///< moving average of the time between two events of a stream, in milliseconds
     DelayEstimate firstEventDelay{};     ///< from sending a request to the first event, of streams that began here
     CrashingRequests crashingRequests{}; ///< requests, and parts of prompts, that were open at crashes of targets
+    TimePoint peersHeardAt{};            ///< when another entry was last known to be reachable; zero: never
     EntryCount entryCount{};             ///< number of entries that share budgets
     bool hasRetryShare = false;          ///< this entry was granted its full share of the retry budgets
 };
@@ -82,6 +93,8 @@
 /// Adds a request to the service's retry budget, which grows with the number of requests.
 void recordRequest(RelayContext &context, const ServiceName &service);
 
+/// Whether no other entry is reachable, although there may be others.
+bool hearsNoPeers(const RelayContext &context);
 /// Token bucket for this entry's share of the link between data centres that a service uses, with the rate and burst of the newest
 /// configuration.
 TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -10,6 +10,7 @@
 #include "relay/caller_admission.h"
 #include "relay/caller_session.h"
 #include "relay/crash_guard.h"
+#include "relay/data_center_search.h"
 #include "relay/engine_prober.h"
 #include "relay/forwarded_request.h"
 #include "relay/lease_manager.h"
@@ -382,6 +383,7 @@
     });
     data.budgetTimer = std::make_unique<Timer>(loop, [&data] {
         updateBudgetShares(data.context);
+        adaptDataCenterChoices(data.context);
     });
     EngineProber::Handlers onProbe;
     onProbe.onUnresponsive = [&data](const TargetId &id) {
@@ -584,6 +586,7 @@
     state["maxCallerConnections"] = d->admission->maxConnections();
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
     state["timerLagMs"] = d->admission->overload().averageLagMs;
+    describeDataCenterChoices(context, state);
     state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -8,6 +8,7 @@
 #include "policy/cross_data_center_budget.h"
 #include "policy/departure.h"
 #include "relay/chain_search.h"
+#include "relay/data_center_search.h"
 #include "relay/request_inputs.h"
 #include "relay/stream_demand.h"
 
@@ -130,12 +131,14 @@
     TimePoint m_leavingSince{};        ///< since when an engine of the chain is leaving and no chain of the data centre avoids it
     TimePoint m_queriedAt{};           ///< when the first engine was last queried because of a stall
     TimePoint m_firstByteAt{};
-    TimePoint m_lastEventAt{};    ///< when the last event was relayed
-    milliseconds m_longestGap{0}; ///< longest time between two relayed events
-    int m_refusals = 0;           ///< number of attempts refused by engines without running them
-    bool m_isStream = false;      ///< the response of this attempt is an event stream
-    bool m_hasEvents = false;     ///< events of this attempt were relayed
-    int m_eventsOfAttempt = 0;    ///< number of events of this attempt that were relayed
+    TimePoint m_lastEventAt{};         ///< when the last event was relayed
+    milliseconds m_longestGap{0};      ///< longest time between two relayed events
+    int m_refusals = 0;                ///< number of attempts refused by engines without running them
+    bool m_isStream = false;           ///< the response of this attempt is an event stream
+    bool m_hasEvents = false;          ///< events of this attempt were relayed
+    int m_eventsOfAttempt = 0;         ///< number of events of this attempt that were relayed
+    double m_backlogAtStartMs = 0;     ///< forecast backlog of the chain when the request was sent to it
+    bool m_crossesDataCenters = false; ///< the chain has engines in several data centres
     bool m_isReserved = false;
     bool m_isWaitingForChain = false; ///< the response has begun, and there is no chain to continue it
     TimePoint m_moveAttemptedAt{};    ///< last search for another chain for the running request
@@ -215,6 +218,11 @@
     selectionContext.dataCenter = m_context.settings.dataCenter;
     selectionContext.now = m_context.clock.now();
     selectionContext.excluded = m_excluded;
+    const bool isBegun = m_lastEventAt != TimePoint();
+    const milliseconds target = isBegun ? m_request.route->targetGap : m_request.route->targetLatency;
+    if (target > milliseconds(0)) {
+        selectionContext.nextEventDue = (isBegun ? m_lastEventAt : m_request.exchange->receivedAt()) + target;
+    }
     return selectionContext;
 }
 
@@ -236,7 +244,10 @@
     m_leaveAt = TimePoint();
     m_chain = std::move(chain);
     const ServiceSpec &service = *m_request.service;
-    consumeCrossDataCenterBudget(crossDataCenterBudget(m_context, service), crossDataCenterBytes(m_context.fleet, *service.engine, m_chain, m_demand));
+    const double crossBytes = crossDataCenterBytes(m_context.fleet, *service.engine, m_chain, m_demand);
+    m_crossesDataCenters = crossBytes > 0;
+    consumeCrossDataCenterBudget(crossDataCenterBudget(m_context, service), crossBytes);
+    m_backlogAtStartMs = chainBacklogMs(m_context.fleet, m_chain, now);
     reserve(+1);
     // A resumed stream processes its prompt and the answer up to its last event; each event is the answer tokens of a pass.
     const double tokens = m_demand.promptTokens + static_cast<double>(m_lastEventId) * service.engine->stepsPerPass;
@@ -322,6 +333,9 @@
         m_longestGap = std::max(m_longestGap, std::chrono::duration_cast<milliseconds>(now - m_lastEventAt));
         const double gap = std::chrono::duration<double>(now - m_lastEventAt).count();
         requestReportsAfterLongGap(now);
+        if (m_crossesDataCenters) {
+            recordCrossDataCenterGap(m_context.observedLinks[m_request.service->name], gap * 1000, m_request.route->targetGap);
+        }
         m_context.metrics.eventGap.record(gap);
         constexpr double newShare = 0.02; // averages over about fifty events, which take a second or less
         m_context.averageEventGapMs += newShare * (std::min(gap * 1000, maxAveragedGapMs) - m_context.averageEventGapMs);
@@ -347,6 +361,8 @@
     // A request that was moved waited for other engines too.
     const bool isUndisturbed = m_moveAttemptedAt < m_lastProgressAt;
     if (isUndisturbed) {
+        const double delayMs = std::chrono::duration<double, std::milli>(now - m_lastProgressAt).count();
+        recordFirstEventOf(m_context, *m_request.service, m_chain, delayMs - m_backlogAtStartMs);
         recordDelay(m_context.firstEventDelay, std::chrono::duration_cast<milliseconds>(now - m_lastProgressAt));
     }
     if (Target *first = findTarget(m_context.fleet, m_chain.front().id)) {
--- a/tests/chain_selection_test.cpp
+++ b/tests/chain_selection_test.cpp
@@ -142,7 +142,7 @@
         {builder.add("home", {0, 30}), {}, {0, 30}}, {builder.add("home", {30, 40}), {}, {30, 40}}, {builder.add("away", {40, 80}), {}, {40, 80}}};
     constexpr int entries = 25;
     constexpr int seconds = 10;
-    std::vector<TokenBucket> budgets(entries, makeCrossDataCenterBudget(model, entries));
+    std::vector<TokenBucket> budgets(entries, makeCrossDataCenterBudget(model, 1.0 / entries));
     double bytes = 0;
     for (int tick = 0; tick < seconds * 100; ++tick) {
         for (TokenBucket &budget : budgets) {
@@ -157,7 +157,7 @@
     BOOST_TEST(bytes < linkBytes);
     BOOST_TEST(bytes > linkBytes / 3);
     BOOST_TEST(crossDataCenterBytes(builder.fleet, model, {chain[0], chain[1]}, {100, 200}) == 0);
-    TokenBucket unknown = makeCrossDataCenterBudget(lightModel(), entries);
+    TokenBucket unknown = makeCrossDataCenterBudget(lightModel(), 1.0 / entries);
     consumeCrossDataCenterBudget(unknown, 1e12);
     BOOST_TEST(hasCrossDataCenterBudget(unknown, start), "with a link of unknown capacity, traffic between data centres is not limited");
 }
