Restarts of a lost engine's streams count for all entries in the forecast

Cause: a restart added its prompt to the forecast once, while all entries restart streams of the same engine. Change: the multiplier of the lost engine is noted before the entry's reservations there are released, and used by the next start or move.

--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Parsleytrail
 {
@@ -88,6 +89,7 @@
     void moveTo(std::vector<ChainStage> chain, double multiplier);
     bool startMove();
     double tokensSoFar() const;
+    void rememberLoss(const TargetFailure &failure);
     void queueRecovery(std::function<void()> recover);
     bool recover(const TargetId &lost);
     RecoveryAction chooseAction(const StreamMove &move);
@@ -157,7 +159,7 @@
     int m_moves = 0;                   ///< identifies the last move; results of earlier ones are ignored
     TimePoint m_givesWayUntil{};       ///< latest time of the move of a stream that gives way; zero: it does not
     std::vector<ChainStage> m_awaited; ///< stages whose engines it waits for while it gives way
-    double m_recoveryMultiplier = 1;   ///< of the engine that it lost, while it gives way
+    double m_recoveryMultiplier = 1;   ///< of the engine that it lost, until it is moved or restarted
     bool m_isRecoveryQueued = false;   ///< it is recovered at the end of this event loop iteration
     int m_recoveries = 0;              ///< identifies the last queued recovery; earlier ones are ignored
     bool m_isEventMissing = false;     ///< an event is missing, so that this attempt can't be relayed
@@ -268,7 +270,7 @@
     reserve(+1);
     // A resumed stream processes its prompt and the answer up to its last event; each event is the answer tokens of a pass.
     const double tokens = m_demand.promptTokens + static_cast<double>(m_lastEventId) * service.engine->stepsPerPass;
-    addChainPrefill(m_context.fleet, *service.engine, m_chain, tokens, 1, now);
+    addChainPrefill(m_context.fleet, *service.engine, m_chain, tokens, std::exchange(m_recoveryMultiplier, 1), now);
     const HeaderNames &names = m_context.adapter.headers();
     std::vector<AddedField> added = {{names.chain, m_context.adapter.encodeChain(m_chain)}};
     if (m_lastEventId > m_resumeAfterId) {
@@ -497,6 +499,7 @@
         avoidTarget(m_context, m_chain.front().id, failure.text);
         m_hooks.requestEngineReport(m_chain.front().id);
     }
+    rememberLoss(failure);
     // The connections of a lost engine close together: the most urgent streams get the retry budget.
     endAttempt();
     queueRecovery([this, reason = failure.text, mayHaveRun = failure.mayHaveRun] {
@@ -504,6 +507,14 @@
     });
 }
 
+/// Notes how many entries restart streams of the first engine, before this entry's reservations there are released.
+void StreamForwarding::rememberLoss(const TargetFailure &failure)
+{
+    if (failure.mayHaveRun && !m_chain.empty()) {
+        m_recoveryMultiplier = rememberedMultiplier(m_context.lostEngines, m_context.fleet, m_chain.front().id, m_context.clock.now());
+    }
+}
+
 void StreamForwarding::retryOrEnd(std::string_view reason, bool mayHaveRun)
 {
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
@@ -797,6 +808,7 @@
         return;
     }
     if (isFirst || !recover(id)) {
+        m_recoveryMultiplier = rememberedMultiplier(m_context.lostEngines, m_context.fleet, id, m_context.clock.now());
         restartOnOtherChain("engine of the chain is dead");
     }
 }
