--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Parsleytrail
 {
@@ -53,33 +54,51 @@
     ledger.startedCost[request.workspace] += request.cost;
 }
 
+double startedCostOf(const FairShareLedger &ledger, const WorkspaceName &workspace)
+{
+    const auto it = ledger.startedCost.find(workspace);
+    return it == ledger.startedCost.end() ? 0 : it->second;
+}
+
 /// Whether `a` starts before `b`, which waits in the same workspace.
-static bool startsBefore(const WaitingRequest &a, const WaitingRequest &b)
+static bool startsBefore(const WaitingRequest &a, const WaitingRequest &b, StartOrder order)
 {
     const double worthA = a.worth / std::max(a.cost, 1.0);
     const double worthB = b.worth / std::max(b.cost, 1.0);
-    return worthA != worthB ? worthA > worthB : a.arrivedAt < b.arrivedAt;
+    return order == StartOrder::ByWorth && worthA != worthB ? worthA > worthB : a.arrivedAt < b.arrivedAt;
+}
+
+/// The most urgent priority of the requests that can start in time.
+static int mostUrgentPriority(const std::vector<WaitingRequest> &waiting, TimePoint now)
+{
+    int priority = std::numeric_limits<int>::max();
+    for (const WaitingRequest &request : waiting) {
+        priority = now < request.startBy ? std::min(priority, request.priority) : priority;
+    }
+    return priority;
 }
 
-std::size_t selectNext(const std::vector<WaitingRequest> &waiting, const FairShareLedger &ledger, TimePoint now)
+std::size_t selectNext(const std::vector<WaitingRequest> &waiting, const FairShareLedger &ledger, TimePoint now, StartOrder order)
 {
+    const int priority = mostUrgentPriority(waiting, now);
     std::map<WorkspaceName, std::size_t> best; // request to start first, by workspace
     for (std::size_t i = 0; i < waiting.size(); ++i) {
-        if (now >= waiting[i].startBy) {
+        if (now >= waiting[i].startBy || waiting[i].priority != priority) {
             continue;
         }
         const auto [known, isNew] = best.emplace(waiting[i].workspace, i);
-        if (!isNew && startsBefore(waiting[i], waiting[known->second])) {
+        if (!isNew && startsBefore(waiting[i], waiting[known->second], order)) {
             known->second = i;
         }
     }
     std::size_t chosen = waiting.size();
     double lowestCost = 0;
     for (const auto &[workspace, index] : best) {
-        const auto it = ledger.startedCost.find(workspace);
         // Weighted, so that a workspace whose responses are worth more may start more.
-        const double weightedCost = (it == ledger.startedCost.end() ? 0 : it->second) / std::max(waiting[index].worth, 1e-6);
-        if (chosen == waiting.size() || weightedCost < lowestCost) {
+        const double weightedCost = startedCostOf(ledger, workspace) / std::max(waiting[index].worth, 1e-6);
+        const bool isNone = chosen == waiting.size();
+        const bool isEarlier = order == StartOrder::ByArrival && !isNone && weightedCost == lowestCost && waiting[index].arrivedAt < waiting[chosen].arrivedAt;
+        if (isNone || weightedCost < lowestCost || isEarlier) {
             chosen = index;
             lowestCost = weightedCost;
         }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -43,6 +43,7 @@
     double cost = 1;         ///< expected cost, in tokens
     TimePoint arrivedAt{};   ///< when it arrived
     TimePoint startBy{};     ///< if it starts later, its first token is late
+    int priority = 0;        ///< 0 is the most urgent; all equal where urgency does not matter
 };
 
 /// Cost of the requests that each workspace has started, with exponential decay. Workspaces with less go first.
@@ -54,12 +55,20 @@
 
 constexpr std::chrono::seconds startedCostHalfLife{5}; ///< after this time a started cost counts half
 
+/// Started cost of a workspace, as of the last decay of the ledger. Comparable with that of other workspaces at any time.
+double startedCostOf(const FairShareLedger &ledger, const WorkspaceName &workspace);
+
+/// Order of the requests of one workspace.
+enum class StartOrder : std::uint8_t {
+    ByWorth,  ///< highest worth for its cost first, then the oldest
+    ByArrival ///< the oldest first, whatever its size; between workspaces with equal started cost too
+};
+
 /// Index of the request to start next; waiting.size() if none can start in time.
 ///
-/// Among the workspaces with waiting requests the one with the lowest started cost for its worth goes first, so that a large
-/// workspace can't starve small ones. Within a workspace the request with the highest worth for its cost goes first, then the
-/// oldest.
-std::size_t selectNext(const std::vector<WaitingRequest> &waiting, const FairShareLedger &ledger, TimePoint now);
+/// Only the requests of the most urgent priority that waits are considered. Among their workspaces the one with the lowest
+/// started cost for its worth goes first, so that a large workspace can't starve small ones. Within a workspace `order` decides.
+std::size_t selectNext(const std::vector<WaitingRequest> &waiting, const FairShareLedger &ledger, TimePoint now, StartOrder order = StartOrder::ByWorth);
 /// Indices, ascending, of requests that can no longer start in time.
 std::vector<std::size_t> expiredRequests(const std::vector<WaitingRequest> &waiting, TimePoint now);
 
