Relay: streams wait a short time for room where routes differ in priority

A stream of a service with priorities whose first search finds no room waits in the relay's queue if streams end often enough for its first event to be on time, and is refused at once otherwise. It has not run while it waits.

--- a/src/relay/chain_search.cpp
+++ b/src/relay/chain_search.cpp
@@ -29,14 +29,19 @@
     }
 }
 
-bool hasUnlimitedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand)
+std::vector<ChainStage> findUnlimitedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand)
 {
     for (const auto &[id, target] : context.fleet.targets) {
         if (limitInForce(target.demand, selection.now) > 0) {
             selection.excludedAsFirst.insert(id);
         }
     }
-    return !findChain(context, service, selection, demand).empty();
+    return findChain(context, service, selection, demand);
+}
+
+bool hasUnlimitedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand)
+{
+    return !findUnlimitedChain(context, service, std::move(selection), demand).empty();
 }
 
 } // namespace Parsleytrail
--- a/src/relay/chain_search.h
+++ b/src/relay/chain_search.h
@@ -18,7 +18,9 @@
 /// Selects a chain whose first engine takes the request under the limit of requests a second that it may have named. Counts the request
 /// as wanted at the engines that don't.
 std::vector<ChainStage> findAdmittedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand);
-/// Whether there is a chain whose first engine names no limit. Unlike findAdmittedChain(), this does not count the request as wanted.
+/// Selects a chain whose first engine names no limit. Unlike findAdmittedChain(), this does not count the request as wanted.
+std::vector<ChainStage> findUnlimitedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand);
+/// Whether there is such a chain.
 bool hasUnlimitedChain(RelayContext &context, const ServiceSpec &service, ChainSelectionContext selection, const StreamDemand &demand);
 
 } // namespace Parsleytrail
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -9,6 +9,18 @@
 namespace Parsleytrail
 {
 
+StreamQueueMetrics::StreamQueueMetrics(Metrics &all)
+{
+    for (std::size_t priority = 0; priority <= lowestPriority; ++priority) {
+        const std::string suffix = "_p" + std::to_string(priority);
+        waiting[priority] = &all.gauge("parsley_relay_streams_waiting" + suffix, "Streams of this priority that wait for room.");
+        waited[priority] = &all.counter("parsley_relay_streams_waited" + suffix, "Streams of this priority that began to wait for room.");
+        started[priority] = &all.counter("parsley_relay_streams_started_after_wait" + suffix, "Of these, streams that got room.");
+        refused[priority] =
+            &all.counter("parsley_relay_streams_refused_for_room" + suffix, "Streams of this priority refused for lack of room, at once or after a wait.");
+    }
+}
+
 static SharedBudgetLimits retryLimits(const RelayContext &context)
 {
     SharedBudgetLimits limits;
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -11,6 +11,7 @@
 #include "relay/platform_adapter.h"
 #include "relay/target_exchange.h"
 
+#include <array>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -18,6 +19,16 @@
 namespace Parsleytrail
 {
 
+/// Counters of the queue of streams, each by priority (0 to lowestPriority); see relay/stream_queue.h.
+struct StreamQueueMetrics {
+    explicit StreamQueueMetrics(Metrics &all);
+
+    std::array<double *, lowestPriority + 1> waiting{};        ///< gauge
+    std::array<std::uint64_t *, lowestPriority + 1> waited{};  ///< began to wait
+    std::array<std::uint64_t *, lowestPriority + 1> started{}; ///< got room after a wait
+    std::array<std::uint64_t *, lowestPriority + 1> refused{}; ///< refused, at once or after a wait
+};
+
 /// Counters and histograms of the data path. Each is looked up by name once, at construction.
 struct RelayMetrics {
     Metrics all;
@@ -47,6 +58,7 @@
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
     double &openRequests = all.gauge("parsley_relay_open_requests", "Requests being answered.");
+    StreamQueueMetrics streamQueue{all};
 };
 
 /// State of one process, owned by Relay.
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -67,8 +67,12 @@
 /// seconds ahead, so that several checks fit in.
 constexpr milliseconds leavingEngineCheckInterval{200};
 
+class StreamQueue;
+
 /// Callbacks from a forwarding to its relay.
 struct ForwardingHooks {
+    /// The relay's queue of streams that wait for room.
+    StreamQueue *streamQueue = nullptr;
     /// Finds out whether a target crashed that closed a connection with a request on it; see CrashDetector.
     std::function<void(const TargetId &target, std::function<void(TargetCondition)> done)> checkForCrash;
     /// Records that a target crashed while the request was open there, and that one completed it; see CrashGuard.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,7 @@
 #include "relay/registry.h"
 #include "relay/relay_peers.h"
 #include "relay/request_inputs.h"
+#include "relay/stream_queue.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
@@ -53,6 +54,7 @@
     RelayContext context;
     HttpClient client;
     ForwardingHooks hooks;
+    std::unique_ptr<StreamQueue> streamQueue{};
     std::unique_ptr<Registry> registry{};
     std::unique_ptr<EngineProber> prober{};
     std::unique_ptr<CrashGuard> crashGuard{};
@@ -195,6 +197,7 @@
 {
     const TimePoint now = context.clock.now();
     admission->check(now);
+    streamQueue->check(now);
     const std::vector<ForwardingPtr> open = forwardings;
     for (const ForwardingPtr &forwarding : open) {
         forwarding->checkTimeouts(now);
@@ -392,6 +395,8 @@
         data.schedulePlan();
     };
     data.prober = std::make_unique<EngineProber>(data.context, data.client, std::move(onProbe));
+    data.streamQueue = std::make_unique<StreamQueue>(data.context);
+    data.hooks.streamQueue = data.streamQueue.get();
     data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done) {
         data.moveStream(attemptId, chain, std::move(done));
     };
@@ -528,6 +533,7 @@
     data.drainStartedAt = data.context.clock.now();
     data.lease->release();
     data.sessions->beginDrain();
+    data.streamQueue->drain();
     data.drainTimer->startRepeating(drainCheckInterval);
 }
 
@@ -585,6 +591,7 @@
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
     state["timerLagMs"] = d->admission->overload().averageLagMs;
     state["soundParts"] = context.crashingRequests.soundParts.size();
+    state["streamQueues"] = d->streamQueue->describe();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
                                       {"address", target.registered.address.toString()},
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -10,6 +10,7 @@
 #include "relay/chain_search.h"
 #include "relay/request_inputs.h"
 #include "relay/stream_demand.h"
+#include "relay/stream_queue.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -79,6 +80,11 @@
 
 private:
     ChainSelectionContext makeSelectionContext() const;
+    void startFirstAttempt();
+    bool isFirstSearch() const;
+    void waitForRoom();
+    void handleOver() override;
+    milliseconds shortenedByPause(milliseconds retryAfter, milliseconds jitter) const;
     void startAttempt();
     void startOnChain(std::vector<ChainStage> chain);
     bool startMove();
@@ -137,15 +143,27 @@
     bool m_hasEvents = false;     ///< events of this attempt were relayed
     int m_eventsOfAttempt = 0;    ///< number of events of this attempt that were relayed
     bool m_isReserved = false;
-    bool m_isWaitingForChain = false; ///< the response has begun, and there is no chain to continue it
-    TimePoint m_moveAttemptedAt{};    ///< last search for another chain for the running request
-    int m_moves = 0;                  ///< identifies the last move; results of earlier ones are ignored
-    bool m_isEventMissing = false;    ///< an event is missing, so that this attempt can't be relayed
+    StreamQueue::Ticket m_queueTicket = 0; ///< the request waits for room and has not been sent; 0: it does not
+    bool m_isWaitingForChain = false;      ///< the response has begun, and there is no chain to continue it
+    TimePoint m_moveAttemptedAt{};         ///< last search for another chain for the running request
+    int m_moves = 0;                       ///< identifies the last move; results of earlier ones are ignored
+    bool m_isEventMissing = false;         ///< an event is missing, so that this attempt can't be relayed
 };
 
 /// A stream is not retried after this many refusals by engines: each costs a round trip and a share of the retry budget.
 constexpr int maxRefusals = 3;
 
+static std::string capacityText(const std::vector<DataCenterFreeCapacity> &capacities)
+{
+    std::vector<std::string> parts;
+    parts.reserve(capacities.size());
+    for (const DataCenterFreeCapacity &capacity : capacities) {
+        parts.push_back(absl::StrCat(capacity.dataCenter, " engines ", capacity.engines, " slots ", capacity.freeSlots, " streams ", capacity.streams,
+                                     " at layer ", capacity.bottleneckLayer));
+    }
+    return joined(parts, ", ");
+}
+
 void StreamForwarding::begin()
 {
     const HttpHead &head = m_request.exchange->head();
@@ -154,9 +172,63 @@
     parseNumber(head.find(names.lastEventId), m_resumeAfterId);
     m_lastEventId = m_resumeAfterId;
     installCallerHandlers();
+    startFirstAttempt();
+}
+
+/// Whether the request was never sent and may wait for room.
+bool StreamForwarding::isFirstSearch() const
+{
+    return m_request.service->hasPriorities && m_chainSince == TimePoint();
+}
+
+void StreamForwarding::startFirstAttempt()
+{
+    if (isFirstSearch() && m_hooks.streamQueue->hasWaiting(m_request.service->name, m_request.priority)) {
+        return waitForRoom();
+    }
     startAttempt();
 }
 
+/// Waits in the relay's queue, which refuses the request if there is no room in time.
+void StreamForwarding::waitForRoom()
+{
+    QueuedStream stream;
+    stream.service = m_request.service->name;
+    stream.route = m_request.route->name;
+    stream.order = makeWaitingRequest(m_context, m_request, m_demand.promptTokens + m_demand.answerTokens);
+    // The forwarding leaves the queue in endAttempt(), so that it outlives its place there.
+    stream.findRoom = [this] {
+        // The first search has counted the request at engines that name a limit; counting each search would raise what they see as wanted.
+        return findUnlimitedChain(m_context, *m_request.service, makeSelectionContext(), m_demand);
+    };
+    stream.run = [self = weak_from_this(), this](std::vector<ChainStage> chain) {
+        const auto keep = self.lock();
+        m_queueTicket = 0;
+        // The request may have been quarantined while it waited.
+        if (findQuarantinedInput(m_context, m_request)) {
+            return retryOrEnd("the request crashes its targets", false);
+        }
+        startOnChain(std::move(chain));
+    };
+    stream.refuse = [self = weak_from_this(), this](std::string_view reason, milliseconds retryAfter, const std::string &inputs) {
+        const auto keep = self.lock();
+        m_queueTicket = 0;
+        const FleetFreeCapacity capacity = freeCapacityLeft(m_context.fleet, makeSelectionContext(), m_demand);
+        const milliseconds jitter = std::chrono::duration_cast<milliseconds>(capacityRetrySpread * drawShare(m_context.random));
+        refuseRequest(m_context, m_request, {reason, shortenedByPause(retryAfter, jitter), absl::StrCat(capacityText(capacity.dataCenters), "; ", inputs)},
+                      m_attempts);
+        end();
+    };
+    m_queueTicket = m_hooks.streamQueue->add(std::move(stream));
+}
+
+void StreamForwarding::handleOver()
+{
+    if (m_request.service->hasPriorities && m_chainSince != TimePoint()) {
+        m_hooks.streamQueue->recordEnd(m_request.service->name);
+    }
+}
+
 /// Adds (`direction` +1) or removes (-1) the request and its planned KV cache at the engines of its chain.
 void StreamForwarding::reserve(int direction)
 {
@@ -170,15 +242,11 @@
     }
 }
 
-static std::string capacityText(const std::vector<DataCenterFreeCapacity> &capacities)
+/// A Retry-After time, shortened if a pause that an engine requested ends before.
+milliseconds StreamForwarding::shortenedByPause(milliseconds retryAfter, milliseconds jitter) const
 {
-    std::vector<std::string> parts;
-    parts.reserve(capacities.size());
-    for (const DataCenterFreeCapacity &capacity : capacities) {
-        parts.push_back(absl::StrCat(capacity.dataCenter, " engines ", capacity.engines, " slots ", capacity.freeSlots, " streams ", capacity.streams,
-                                     " at layer ", capacity.bottleneckLayer));
-    }
-    return joined(parts, ", ");
+    const milliseconds pauseLeft = timeUntilPauseEnds(m_context.fleet, m_request.service->name, m_context.clock.now());
+    return pauseLeft > milliseconds(0) ? std::min(retryAfter, pauseLeft + jitter / 4) : retryAfter;
 }
 
 void StreamForwarding::handleMissingChain(const ChainSelectionContext &selectionContext)
@@ -196,13 +264,14 @@
         failRequest(m_context, m_request, reason, firstTarget(), m_attempts);
         return end();
     }
+    // A chain that only limits of requests a second rule out has room: waiting for the end of a stream would not help.
+    if (isFull && isFirstSearch() && findChain(m_context, *m_request.service, selectionContext, m_demand).empty()) {
+        return waitForRoom();
+    }
     std::uniform_int_distribution<std::int64_t> spread(0, capacityRetrySpread.count());
     const milliseconds jitter(spread(m_context.random));
     milliseconds retryAfter = isFull ? capacityRetryAfter + jitter : coverageRetryAfter + jitter / 2;
-    const milliseconds pauseLeft = timeUntilPauseEnds(m_context.fleet, m_request.service->name, selectionContext.now);
-    if (pauseLeft > milliseconds(0)) {
-        retryAfter = std::min(retryAfter, pauseLeft + jitter / 4);
-    }
+    retryAfter = shortenedByPause(retryAfter, jitter);
     refuseRequest(m_context, m_request, {reason, retryAfter, capacityText(capacity.dataCenters)}, m_attempts);
     end();
 }
@@ -231,6 +300,9 @@
 void StreamForwarding::startOnChain(std::vector<ChainStage> chain)
 {
     const TimePoint now = m_context.clock.now();
+    if (isFirstSearch()) {
+        m_hooks.streamQueue->recordStart(makeWaitingRequest(m_context, m_request, m_demand.promptTokens + m_demand.answerTokens));
+    }
     m_isWaitingForChain = false;
     m_leavingSince = TimePoint();
     m_leaveAt = TimePoint();
@@ -256,6 +328,9 @@
 
 void StreamForwarding::endAttempt()
 {
+    if (const StreamQueue::Ticket ticket = std::exchange(m_queueTicket, 0)) {
+        m_hooks.streamQueue->remove(ticket);
+    }
     if (m_isReserved) {
         reserve(-1);
     }
@@ -660,8 +735,8 @@
 
 void StreamForwarding::checkTimeouts(TimePoint now)
 {
-    if (m_isOver) {
-        return;
+    if (m_isOver || m_queueTicket != 0) {
+        return; // the queue refuses a waiting request before its deadline
     }
     if (now >= m_request.deadline) {
         failRequest(m_context, m_request, "time is up", firstTarget(), m_attempts);
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -150,7 +150,9 @@
 void TargetForwarding::end()
 {
     endAttempt();
-    m_isOver = true;
+    if (!std::exchange(m_isOver, true)) {
+        handleOver();
+    }
 }
 
 } // namespace Parsleytrail
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -42,6 +42,10 @@
     virtual void handleBody(std::string &body) = 0;
     virtual void handleEnd() = 0;
     virtual void handleFailure(const TargetFailure &failure) = 0;
+    /// Called once, when the forwarding is over.
+    virtual void handleOver()
+    {
+    }
     /// Releases the resources of the current attempt.
     virtual void endAttempt() = 0;
 
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -277,6 +277,10 @@
     stream["timeoutMs"] = 20000;
     Json unresumable = route("r-talk", "/talk/", "streaming", "chat", 2);
     unresumable["timeoutMs"] = 20000;
+    unresumable["priority"] = d->options.talkPriority;
+    for (Json *chat : {&stream, &unresumable}) {
+        (*chat)["targetLatencyMs"] = d->options.streamTarget.count();
+    }
     const Json feed = route("r-feed", "/feed/", "streaming", "shop", 2);
     Json open = route("r-open", "/open/", "idempotent", "shop", 2);
     open["public"] = true;
@@ -401,6 +405,11 @@
     return call("POST", "/chat/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n" + extraFields);
 }
 
+RawCallPtr RelaySystem::sizedStream(const std::string &path, const std::string &id, int promptTokens, const std::string &extraFields)
+{
+    return call("POST", path, id, "question", "X-Model: m\r\nX-Token-Usage: " + std::to_string(promptTokens) + ",20\r\n" + extraFields);
+}
+
 RawCallPtr RelaySystem::unresumableStream(const std::string &id, const std::string &httpVersion)
 {
     std::string text = request("POST", "/talk/x", id, "question", "X-Model: m\r\nX-Token-Usage: 100,20\r\n");
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -46,6 +46,8 @@
     StandIn::ChainEnginesOptions engineOptions;     ///< options of all engines
     int version = 1;                                ///< version of the configuration
     milliseconds callTimeout{2000};                 ///< timeout of the routes of plain services
+    int talkPriority = 1;                           ///< priority of the route /talk/; that of /chat/ is 1
+    milliseconds streamTarget{300};                 ///< target latency of the streams of the service "chat"
     std::function<void(RelaySettings &)> tuneRelay; ///< changes the settings of each relay before its start
 };
 
@@ -92,6 +94,8 @@
     RawCallPtr stream(const std::string &id, const std::string &extraFields = {});
     /// The same on the route whose streams can't be resumed.
     RawCallPtr unresumableStream(const std::string &id, const std::string &httpVersion = "HTTP/1.1");
+    /// A stream on a given path whose prompt has `promptTokens` tokens.
+    RawCallPtr sizedStream(const std::string &path, const std::string &id, int promptTokens, const std::string &extraFields = {});
 
     /// Calls `start` at each `interval` for `time`, with numbers from 0, and waits until all responses are complete.
     std::vector<RawCallPtr> startRepeatedly(milliseconds interval, milliseconds time, const std::function<RawCallPtr(std::size_t)> &start);
--- a/tests/stream_queue_test.cpp
+++ b/tests/stream_queue_test.cpp
@@ -118,6 +118,7 @@
 BOOST_AUTO_TEST_CASE(urgent_arrivals_in_a_full_queue_displace_the_last_of_the_least_urgent)
 {
     std::vector<WaitingRequest> waiting;
+    waiting.reserve(6);
     for (int i = 0; i < 5; ++i) {
         waiting.push_back(makeStream("slow", 3, milliseconds(i), milliseconds(250)));
     }
@@ -188,7 +189,7 @@
     const bool isRight = rc::check([] {
         const std::vector<WaitingRequest> waiting = drawWaiting(start);
         const FairShareLedger ledger = drawLedger();
-        const WaitingRequest next = waiting[nextStream(waiting, ledger, start)];
+        const WaitingRequest &next = waiting[nextStream(waiting, ledger, start)];
         for (const WaitingRequest &stream : waiting) {
             const int difference = effectivePriority(next, start) - effectivePriority(stream, start);
             RC_ASSERT(difference <= 0);
