Shares of workspaces: counts, lists in messages, and sums over relays

Cause: callers spread over all relays, so a workspace that uses most of the engines looks small at each of them. Change: pure functions that count started tokens with the half-life of FairShareLedger, and a list of the largest workspaces at the end of reports, digests and summaries (wire version 5), which aggregators sum as they do for demands.

--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -33,17 +33,17 @@
     admission.windowEndsAt = now + admission.window;
 }
 
-static double decayed(double total, const FairShareLedger &ledger, TimePoint now)
+double decayedCost(double cost, TimePoint since, TimePoint now)
 {
-    const double halfLives = std::chrono::duration<double>(now - ledger.decayedAt) / std::chrono::duration<double>(startedCostHalfLife);
-    return total * std::exp2(-halfLives);
+    const double halfLives = std::chrono::duration<double>(now - since) / std::chrono::duration<double>(startedCostHalfLife);
+    return cost * std::exp2(-halfLives);
 }
 
 void recordStart(FairShareLedger &ledger, const WaitingRequest &request, TimePoint now)
 {
     if (ledger.decayedAt != TimePoint{}) {
         for (auto &[workspace, total] : ledger.startedCost) {
-            total = decayed(total, ledger, now);
+            total = decayedCost(total, ledger.decayedAt, now);
         }
         std::erase_if(ledger.startedCost, [](const auto &item) {
             return item.second < 1;
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -53,6 +53,8 @@
 void recordStart(FairShareLedger &ledger, const WaitingRequest &request, TimePoint now);
 
 constexpr std::chrono::seconds startedCostHalfLife{5}; ///< after this time a started cost counts half
+/// What is left at `now` of a started cost as of `since`.
+double decayedCost(double cost, TimePoint since, TimePoint now);
 
 /// Index of the request to start next; waiting.size() if none can start in time.
 ///
--- a/src/policy/exchange_groups.cpp
+++ b/src/policy/exchange_groups.cpp
@@ -36,12 +36,22 @@
     return exchangeInterval * (1 + std::min(exchange.localTargets.size(), maxReportedLoads) / localTargetsPerInterval);
 }
 
+std::size_t summaryTurns(const LoadExchange &exchange)
+{
+    return std::max<std::size_t>(1, (exchange.groups.size() + summariesPerInterval - 1) / summariesPerInterval);
+}
+
 milliseconds extendedTimeout(milliseconds timeout, milliseconds interval)
 {
     constexpr int lostInRow = 2;
     return timeout + lostInRow * (interval - exchangeInterval);
 }
 
+milliseconds groupTimeout(const LoadExchange &exchange)
+{
+    return extendedTimeout(exchangeTimeout, sendInterval(exchange) * summaryTurns(exchange));
+}
+
 bool hasRecentDigest(const LoadExchange &exchange, TimePoint now)
 {
     return exchange.digest.receivedAt != TimePoint() && now - exchange.digest.receivedAt < extendedTimeout(exchangeTimeout, sendInterval(exchange));
--- a/src/policy/exchange_groups.h
+++ b/src/policy/exchange_groups.h
@@ -21,9 +21,13 @@
 bool isUnresponsive(const LoadExchange &exchange, const std::string &host, TimePoint now);
 /// Interval between messages of this entry, and of the others of its data centre, which list the same targets.
 milliseconds sendInterval(const LoadExchange &exchange);
+/// Intervals in which an aggregator sends a summary to each other group once.
+std::size_t summaryTurns(const LoadExchange &exchange);
 /// Timeout for messages that are due every `interval`, from that of messages due every exchangeInterval. Up to two may be lost in a
 /// row; otherwise a data centre with many targets would lose its aggregator with each lost datagram.
 milliseconds extendedTimeout(milliseconds timeout, milliseconds interval);
+/// Timeout of messages from other groups, each of which sends its summaries to all others in turn.
+milliseconds groupTimeout(const LoadExchange &exchange);
 /// Whether an aggregator has responded recently.
 bool hasRecentDigest(const LoadExchange &exchange, TimePoint now);
 /// Whether the members and groups of a new aggregator may not all have reported yet. Until then the digest that it received
--- a/src/policy/exchange_messages.cpp
+++ b/src/policy/exchange_messages.cpp
@@ -59,6 +59,36 @@
     return table;
 }
 
+/// What this entry and its members started, without one of them.
+static UsageTable groupUsage(const LoadExchange &exchange, const EntryId &leftOut, TimePoint now)
+{
+    UsageTable table;
+    if (leftOut != exchange.self.entry) {
+        addUsage(table, {exchange.ownReport.usage, now}, now);
+    }
+    for (const auto &[id, member] : exchange.members) {
+        if (id != leftOut) {
+            addUsage(table, member.usage, now);
+        }
+    }
+    return table;
+}
+
+UsageTable usageWithout(const LoadExchange &exchange, const EntryId &leftOut, TimePoint now)
+{
+    UsageTable table = groupUsage(exchange, leftOut, now);
+    for (const auto &[id, group] : exchange.groups) {
+        addUsage(table, group.usage, now);
+    }
+    return table;
+}
+
+/// Whether the message with this number lists usage, of messages to one receiver that are `interval` apart.
+static bool listsUsage(std::uint64_t number, milliseconds interval)
+{
+    return number % std::max<std::uint64_t>(1, usageInterval / interval) == 0;
+}
+
 static GroupDigest makeDigest(LoadExchange &exchange, const EntryRef &aggregator)
 {
     GroupDigest digest;
@@ -128,6 +158,9 @@
     digest.turns = remoteSlices;
     digest.turn = static_cast<std::uint32_t>(report.sequence % remoteSlices);
     digest.demands = listDemands(demandsWithout(exchange, report.sender.entry, now), now);
+    if (listsUsage(report.sequence, sendInterval(exchange))) {
+        digest.usage = listUsage(usageWithout(exchange, report.sender.entry, now), maxSummedWorkspaces);
+    }
     if (isTakingOver(exchange, now)) {
         digest.others = exchange.digest.last.others;
         digest.loads = listLoads(includedLoads(exchange, exchange.digestLoads, digest), maxReportedLoads);
@@ -156,6 +189,12 @@
     }
     summary.loads = listLoads(loads, maxReportedLoads);
     summary.demands = listDemands(groupDemands(exchange, {}, now), now);
+    // Counted in ticks, as all messages of an aggregator share one sequence.
+    const std::uint64_t turns = summaryTurns(exchange);
+    const std::uint64_t turn = exchange.ticks / (sendInterval(exchange) / exchangeInterval) / turns;
+    if (listsUsage(turn, sendInterval(exchange) * turns)) {
+        summary.usage = listUsage(groupUsage(exchange, {}, now), maxSummedWorkspaces);
+    }
     return summary;
 }
 
@@ -163,6 +202,9 @@
 {
     EntryReport report = exchange.ownReport;
     report.sequence = ++exchange.sequence;
+    if (!listsUsage(report.sequence, sendInterval(exchange))) {
+        report.usage.clear();
+    }
     return report;
 }
 
--- a/src/policy/exchange_messages.h
+++ b/src/policy/exchange_messages.h
@@ -12,6 +12,8 @@
 EntriesView viewWithout(const LoadExchange &exchange, const EntryId &leftOut);
 /// What all entries except one want to send to targets that name limits. Includes this entry, unless it is the one left out.
 DemandTable demandsWithout(const LoadExchange &exchange, const EntryId &leftOut, TimePoint now);
+/// What all entries except one started for their largest workspaces. Includes this entry, unless it is the one left out.
+UsageTable usageWithout(const LoadExchange &exchange, const EntryId &leftOut, TimePoint now);
 /// The response to an entry that is to report to another aggregator.
 ExchangeMessages redirect(LoadExchange &exchange, const std::string &host, const EntryRef &aggregator);
 /// Replaces the loads of the targets that a digest covers. A full list may lack some of them, so their loads are kept.
--- a/src/policy/load_exchange.cpp
+++ b/src/policy/load_exchange.cpp
@@ -45,16 +45,19 @@
     view.source = findTableSource(exchange, now);
     view.isJoining = !hasGroup(exchange) && now - exchange.startedAt < groupWaitTime;
     view.leavesReadingToOthers = leavesReadingToOthers(exchange, now);
+    view.ignoredUsage = exchange.ignoredUsage;
     if (isAggregator(exchange) && !isTakingOver(exchange, now)) {
         view.entries = viewWithout(exchange, exchange.self.entry);
         view.loads = listLoads(exchange.loads, exchange.loads.size());
         view.demands = demandsWithout(exchange, exchange.self.entry, now);
+        view.usage = usageWithout(exchange, exchange.self.entry, now);
         return view;
     }
     if (hasRecentDigest(exchange, now)) {
         view.entries = exchange.digest.last.others;
         view.loads = listLoads(exchange.digestLoads, exchange.digestLoads.size());
         addDemands(view.demands, exchange.digest.last.demands, exchange.digest.receivedAt);
+        addUsage(view.usage, exchange.digest.usage, now);
     }
     return view;
 }
@@ -113,7 +116,8 @@
         // The current view is used until the first digest arrives.
         GroupDigest known;
         known.others = viewWithout(exchange, exchange.self.entry);
-        exchange.digest = {known, now};
+        const UsageTable usage = usageWithout(exchange, exchange.self.entry, now);
+        exchange.digest = {known, now, {}, {listUsage(usage, usage.size()), now}};
         exchange.digestLoads = exchange.loads;
     }
     exchange.aggregator = aggregator;
@@ -143,9 +147,11 @@
     exchange.lastTickAt = now;
     for (auto &[id, member] : exchange.members) {
         member.receivedAt = creditProcessPause(member.receivedAt, pause, now);
+        member.usage.receivedAt = creditProcessPause(member.usage.receivedAt, pause, now);
     }
     for (auto &[id, group] : exchange.groups) {
         group.receivedAt = creditProcessPause(group.receivedAt, pause, now);
+        group.usage.receivedAt = creditProcessPause(group.usage.receivedAt, pause, now);
     }
     exchange.lastResponseAt = creditProcessPause(exchange.lastResponseAt, pause, now);
     exchange.digest.receivedAt = exchange.digest.receivedAt == TimePoint() ? TimePoint() : creditProcessPause(exchange.digest.receivedAt, pause, now);
@@ -163,16 +169,41 @@
     return expired;
 }
 
+/// Takes over the list of workspaces of a message that was received last.
+template<typename Message>
+static void takeUsage(LoadExchange &exchange, Received<Message> &from, TimePoint now)
+{
+    const std::uint64_t impossible = keepUsage(from.usage, from.last.usage, now);
+    if (impossible > 0) {
+        exchange.ignoredUsage.impossible += impossible;
+        exchange.ignoredUsage.impossibleFromHost = from.last.sender.host;
+    }
+}
+
+/// Removes lists of workspaces that no newer one has replaced in time, also those of senders that still send other messages.
+static void removeOutdatedUsage(LoadExchange &exchange, TimePoint now)
+{
+    const auto drop = [&](ReceivedUsage &usage, milliseconds timeout) {
+        exchange.ignoredUsage.outdated += dropOutdatedUsage(usage, timeout, now) ? 1 : 0;
+    };
+    const milliseconds timeout = extendedTimeout(exchangeTimeout, sendInterval(exchange));
+    for (auto &[id, member] : exchange.members) {
+        drop(member.usage, timeout);
+    }
+    for (auto &[id, group] : exchange.groups) {
+        drop(group.usage, groupTimeout(exchange));
+    }
+    drop(exchange.digest.usage, timeout);
+}
+
 static void removeExpired(LoadExchange &exchange, TimePoint now)
 {
     const milliseconds interval = sendInterval(exchange);
+    removeOutdatedUsage(exchange, now);
     for (const EntryId &id : expiredIds(exchange.members, extendedTimeout(exchangeTimeout, interval), now)) {
         dropMember(exchange, id);
     }
-    // Each group sends its summaries to all others in turn.
-    const std::size_t turns = std::max<std::size_t>(1, (exchange.groups.size() + summariesPerInterval - 1) / summariesPerInterval);
-    const milliseconds groupTimeout = extendedTimeout(exchangeTimeout, interval * turns);
-    for (const EntryId &id : expiredIds(exchange.groups, groupTimeout, now)) {
+    for (const EntryId &id : expiredIds(exchange.groups, groupTimeout(exchange), now)) {
         const std::string host = exchange.groups.at(id).last.sender.host;
         dropGroup(exchange, id);
         recordHost(exchange, host, now);
@@ -294,6 +325,7 @@
     exchange.ownReport.targetsChange = state.targetsChange;
     exchange.ownReport.loads = state.loads;
     exchange.ownReport.demands = state.demands;
+    exchange.ownReport.usage = state.usage;
     exchange.localTargets = state.localTargets;
     return hasNews;
 }
@@ -418,7 +450,10 @@
         removeLoads(exchange.loads, known->second.last.loads);
     }
     dropGroup(exchange, id);
-    exchange.members[id] = {report, now};
+    Received<EntryReport> &member = exchange.members[id];
+    member.last = report;
+    member.receivedAt = now;
+    takeUsage(exchange, member, now);
     addLoads(exchange.loads, report.loads);
     return {{report.sender.host, digestFor(exchange, report, now)}};
 }
@@ -505,7 +540,9 @@
     }
     if (isAccepted) {
         applyLoads(exchange, digest);
-        exchange.digest = {digest, now};
+        exchange.digest.last = digest;
+        exchange.digest.receivedAt = now;
+        takeUsage(exchange, exchange.digest, now);
         exchange.lastResponseAt = now;
         recordHost(exchange, digest.sender.host, now);
         for (const EntryRef &aggregator : digest.aggregators) {
@@ -532,14 +569,18 @@
     }
     const EntryId &id = summary.sender.entry;
     const auto known = exchange.groups.find(id);
-    if (known != exchange.groups.end() && !isNewer(summary, known->second.last)) {
+    const bool isKnown = known != exchange.groups.end();
+    if (isKnown && !isNewer(summary, known->second.last)) {
         return {};
     }
-    const TimePoint sentAt = known != exchange.groups.end() ? known->second.sentAt : TimePoint();
+    const TimePoint sentAt = isKnown ? known->second.sentAt : TimePoint();
+    const ReceivedUsage usage = isKnown ? known->second.usage : ReceivedUsage();
     dropMember(exchange, id);
     dropGroup(exchange, id);
     if (exchange.groups.size() < maxGroups) {
-        exchange.groups[id] = {summary, now, sentAt};
+        Received<GroupSummary> &group = exchange.groups[id];
+        group = {summary, now, sentAt, usage};
+        takeUsage(exchange, group, now);
         addLoads(exchange.loads, summary.loads);
     }
     for (const EntryRef &aggregator : summary.aggregators) {
--- a/src/policy/load_exchange.h
+++ b/src/policy/load_exchange.h
@@ -18,6 +18,7 @@
 
 #include "base/clock.h"
 #include "policy/load_table.h"
+#include "policy/workspace_shares.h"
 
 #include <map>
 #include <string>
@@ -77,6 +78,7 @@
     std::vector<EngineLoad> loads;           ///< targets at which it has load, or which it avoids
     std::vector<std::uint32_t> localTargets; ///< keys (loadKey()) of all targets of its data centre, ascending
     std::vector<TargetDemand> demands;       ///< targets that name limits; see policy/request_limits.h
+    std::vector<WorkspaceUsage> usage;       ///< largest workspaces while it lacks room; see policy/workspace_shares.h
 };
 
 /// A message to send.
@@ -92,6 +94,7 @@
     Message last;           ///< newest by incarnation and sequence
     TimePoint receivedAt{}; ///< when it arrived
     TimePoint sentAt{};     ///< groups only: when a summary was last sent to it
+    ReceivedUsage usage{};  ///< last list of workspaces, which may be that of an earlier message
 };
 
 /// State of the exchange in one entry.
@@ -123,6 +126,7 @@
     std::map<std::string, TimePoint> unresponsiveUntil;       ///< hosts of aggregators that timed out or are stopping, and until when they are not tried
     std::string lastProbedHost;                               ///< seed or known host that was probed last
     EntryId lastNamedAggregator;                              ///< aggregator that was named last in a message
+    IgnoredUsage ignoredUsage;                                ///< usage of workspaces that was received and not used
 };
 
 /// An entry to copy the tables of the store from; see policy/table_source.h.
@@ -137,6 +141,8 @@
     EntriesView entries;                ///< number and states of the entries
     std::vector<EngineLoad> loads;      ///< sums of their loads
     DemandTable demands;                ///< what they want to send to targets that name limits
+    UsageTable usage;                   ///< what they started for their largest workspaces, as of now
+    IgnoredUsage ignoredUsage;          ///< see LoadExchange
     std::string aggregator;             ///< host of the aggregator; empty: this entry is one
     TableSource source;                 ///< where to copy the tables from
     bool isJoining = false;             ///< this entry has just started and does not know its group yet
--- a/tests/load_exchange_test.cpp
+++ b/tests/load_exchange_test.cpp
@@ -167,6 +167,70 @@
     }
 }
 
+/// Guards against use of workspaces that is counted twice or not at all, also after all aggregators were lost.
+BOOST_AUTO_TEST_CASE(everyEntryKnowsTheUseOfWorkspacesElsewhere)
+{
+    constexpr std::uint32_t workspace = 5;
+    constexpr double oldestShare = 0.75; // what decay leaves after 2 s, longer than three lists in a row take
+    for (const FleetSize &size : {sizes[0], sizes[1]}) {
+        CheckedFleet fleet(size, 13);
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            fleet.at(i).state.usage = {{workspace, 1000 + 100 * static_cast<std::uint32_t>(i)}};
+        }
+        const auto checkSums = [&] {
+            double all = 0;
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                all += fleet.at(i).isRunning ? fleet.at(i).state.usage.front().tokens : 0;
+            }
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                if (fleet.at(i).isRunning) {
+                    const double others = all - fleet.at(i).state.usage.front().tokens;
+                    const double known = peersView(fleet.at(i).exchange, fleet.now()).usage[workspace];
+                    BOOST_TEST(known <= others * 1.001 + 100, size.entries << " entries, " << i << ": " << known << " of " << others);
+                    BOOST_TEST(known >= others * oldestShare, size.entries << " entries, " << i << ": " << known << " of " << others);
+                }
+            }
+        };
+        fleet.run(std::chrono::seconds(8));
+        checkSums();
+        std::size_t stopped = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (isAggregator(fleet.at(i).exchange) && ++stopped < fleet.size()) {
+                fleet.stop(i);
+            }
+        }
+        fleet.run(2 * convergenceTime);
+        checkSums();
+    }
+}
+
+/// Guards against lists of workspaces that lengthen the traffic by more than a tenth while all entries lack room.
+BOOST_AUTO_TEST_CASE(usageOfWorkspacesAddsLessThanATenth)
+{
+    constexpr int engines = 60;
+    const auto bytesSent = [](const FleetSize &size, bool isReporting) {
+        CheckedFleet fleet(size, 14);
+        assignLoads(fleet, engines, size.dataCenters);
+        for (std::size_t i = 0; i < fleet.size() && isReporting; ++i) {
+            for (std::uint32_t k = 0; k < maxOwnWorkspaces; ++k) {
+                fleet.at(i).state.usage.push_back({1 + (static_cast<std::uint32_t>(i) * 5 + k) % static_cast<std::uint32_t>(maxSummedWorkspaces), 1000});
+            }
+        }
+        fleet.run(std::chrono::seconds(20));
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            sum += fleet.at(i).bytesSent;
+        }
+        return static_cast<double>(sum);
+    };
+    for (const FleetSize &size : {FleetSize{8, 3}, FleetSize{28, 3}, FleetSize{68, 5}}) {
+        const double growth = bytesSent(size, true) / bytesSent(size, false);
+        BOOST_TEST_MESSAGE(size.entries << " entries: usage of workspaces multiplies what is sent by " << growth);
+        BOOST_TEST(growth > 1.0);
+        BOOST_TEST(growth < 1.1, size.entries << " entries: " << growth);
+    }
+}
+
 /// Guards against outdated loads, by which all entries of a data centre overload the same engines before they receive each
 /// other's updates.
 BOOST_AUTO_TEST_CASE(loadUpdatesAreRecent)
