--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -8,6 +8,7 @@
 #include "policy/routes.h"
 #include "policy/shared_budget.h"
 #include "policy/silence.h"
+#include "policy/workspace_shares.h"
 #include "relay/platform_adapter.h"
 #include "relay/target_exchange.h"
 
@@ -44,6 +45,12 @@
     std::uint64_t &pauseRequests = all.counter("parsley_relay_pause_requests", "Refusals of targets that want no other request for a time.");
     std::uint64_t &sendsInPauses = all.counter("parsley_relay_sends_in_pauses", "Requests sent to targets in such a time.");
     std::uint64_t &quarantined = all.counter("parsley_relay_quarantined", "Requests refused because they crash targets.");
+    std::uint64_t &impossibleUsage =
+        all.counter("parsley_relay_workspace_usage_impossible", "Values of other relays about workspaces that were ignored as impossible.");
+    std::uint64_t &outdatedUsage =
+        all.counter("parsley_relay_workspace_usage_outdated", "Lists of workspaces of other relays that ended without a newer one in time.");
+    double &knownWorkspaces = all.gauge("parsley_relay_workspaces_known", "Workspaces with streams started lately, here or at other relays.");
+    double &largestWorkspaceShare = all.gauge("parsley_relay_workspace_largest_share", "Share of the largest of them in their tokens, 0 to 1.");
     TimeHistogram &firstByte = all.histogram("parsley_relay_first_byte_seconds", "From a request's first byte to the first byte of its answer.");
     TimeHistogram &eventGap = all.histogram("parsley_relay_event_gap_seconds", "Between two events of a stream.");
     double &openRequests = all.gauge("parsley_relay_open_requests", "Requests being answered.");
@@ -66,6 +73,8 @@
     DelayEstimate firstEventDelay{};     ///< from sending a request to the first event, of streams that began here
     CrashingRequests crashingRequests{}; ///< requests, and parts of prompts, that were open at crashes of targets
     EntryCount entryCount{};             ///< number of entries that share budgets
+    WorkspaceShares workspaces{};        ///< tokens that workspaces started lately; see relay/workspace_reports.h
+    bool isReportingWorkspaces = false;  ///< the last message's state had a list of workspaces
     bool hasRetryShare = false;          ///< this entry was granted its full share of the retry budgets
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -17,6 +17,7 @@
 #include "relay/registry.h"
 #include "relay/relay_peers.h"
 #include "relay/request_inputs.h"
+#include "relay/workspace_reports.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
@@ -584,6 +585,7 @@
     state["maxCallerConnections"] = d->admission->maxConnections();
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
     state["timerLagMs"] = d->admission->overload().averageLagMs;
+    state["workspaces"] = dumpWorkspaces(context, now);
     state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_peers.h"
 
 #include "base/log.h"
+#include "relay/workspace_reports.h"
 #include "wire/datagrams.h"
 
 #include <algorithm>
@@ -9,7 +10,7 @@
 {
 
 /// Wire version of the messages between relays; raised when a field is added to one of them.
-constexpr std::uint16_t relayWireVersion = 4;
+constexpr std::uint16_t relayWireVersion = 5;
 
 struct RelayPeers::Private {
     RelayContext &context;
@@ -99,6 +100,7 @@
     std::sort(state.localTargets.begin(), state.localTargets.end());
     state.loads = listLoads(loads, maxReportedLoads);
     state.demands.resize(std::min(state.demands.size(), maxReportedDemands));
+    state.usage = usageToReport(context);
     handlers.describe(state);
     return state;
 }
@@ -176,6 +178,7 @@
         target.peersKvTokenLayers = hasLoad ? load->kvTokenLayers : 0;
         applyPeerDemand(target, key, others.demands);
     }
+    applyPeerUsage(context, others);
     recordReachableEntries(context, static_cast<int>(others.entries.entries));
     logChanges(before);
     handlers.onOthers(others);
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -10,6 +10,7 @@
 #include "relay/chain_search.h"
 #include "relay/request_inputs.h"
 #include "relay/stream_demand.h"
+#include "relay/workspace_reports.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -137,6 +138,7 @@
     bool m_hasEvents = false;     ///< events of this attempt were relayed
     int m_eventsOfAttempt = 0;    ///< number of events of this attempt that were relayed
     bool m_isReserved = false;
+    bool m_isCounted = false;         ///< the stream counts as started by its workspace
     bool m_isWaitingForChain = false; ///< the response has begun, and there is no chain to continue it
     TimePoint m_moveAttemptedAt{};    ///< last search for another chain for the running request
     int m_moves = 0;                  ///< identifies the last move; results of earlier ones are ignored
@@ -192,6 +194,9 @@
     const FleetFreeCapacity capacity = freeCapacityLeft(m_context.fleet, selectionContext, m_demand);
     const bool isFull = capacity.coversAllLayers;
     const std::string_view reason = isFull ? "no-room" : "no-chain";
+    if (isFull) {
+        recordLackOfRoom(m_context, *m_request.service);
+    }
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, reason, firstTarget(), m_attempts);
         return end();
@@ -238,6 +243,9 @@
     const ServiceSpec &service = *m_request.service;
     consumeCrossDataCenterBudget(crossDataCenterBudget(m_context, service), crossDataCenterBytes(m_context.fleet, *service.engine, m_chain, m_demand));
     reserve(+1);
+    if (!std::exchange(m_isCounted, true)) {
+        recordStartedStream(m_context, m_request.workspace, m_demand);
+    }
     const HeaderNames &names = m_context.adapter.headers();
     std::vector<AddedField> added = {{names.chain, m_context.adapter.encodeChain(m_chain)}};
     if (m_lastEventId > m_resumeAfterId) {
