--- a/src/policy/routes.cpp
+++ b/src/policy/routes.cpp
@@ -1,6 +1,7 @@
 #include "policy/routes.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace Parsleytrail
@@ -38,36 +39,64 @@
     return key;
 }
 
-/// Marks the services whose stream routes, or the workspaces that may call them, differ in priority.
-static void markPriorities(RouteTable &table)
+/// Orders by the workspace's priority, then the route's.
+static int combinedPriority(std::optional<int> ofWorkspace, int ofRoute)
 {
-    std::unordered_map<ServiceName, std::set<int>> priorities;
-    std::set<int> ofWorkspaces;
+    return ofWorkspace.value_or(defaultPriority) * (lowestPriority + 1) + ofRoute;
+}
+
+/// Priorities that the table's workspaces state; without a value for callers that belong to none, or to one that states none.
+static std::set<std::optional<int>> workspacePriorities(const RouteTable &table)
+{
+    std::set<std::optional<int>> priorities;
     for (const auto &[key, owner] : table.keyOwners) {
-        if (owner.priority) {
-            ofWorkspaces.insert(*owner.priority);
-        }
+        priorities.insert(owner.priority);
+    }
+    if (!table.requiresKeys || priorities.empty()) {
+        priorities.insert(std::nullopt);
     }
+    return priorities;
+}
+
+/// Ranks the combined priorities of the routes, and marks the services whose streams differ in them.
+static void rankPriorities(RouteTable &table)
+{
+    const std::set<std::optional<int>> ofWorkspaces = workspacePriorities(table);
+    std::set<int> all;
+    std::unordered_map<ServiceName, std::set<int>> ofServices;
     for (const Route &route : table.routes) {
-        for (const WeightedService &part : route.services) {
-            if (route.kind == CallKind::Stream) {
-                priorities[part.service].insert(route.priority);
-                priorities[part.service].insert(ofWorkspaces.begin(), ofWorkspaces.end());
+        for (const std::optional<int> ofWorkspace : ofWorkspaces) {
+            const int combined = combinedPriority(ofWorkspace, route.priority);
+            all.insert(combined);
+            for (const WeightedService &part : route.services) {
+                if (route.kind == CallKind::Stream) {
+                    ofServices[part.service].insert(combined);
+                }
             }
         }
     }
+    table.priorityRanks.clear();
+    for (const int combined : all) {
+        table.priorityRanks[combined] = std::min(static_cast<int>(table.priorityRanks.size()), lowestPriority);
+    }
     for (auto &[name, service] : table.services) {
-        service.hasPriorities = priorities[name].size() > 1;
+        service.hasPriorities = ofServices[name].size() > 1;
     }
 }
 
+int requestPriority(const RouteTable &table, const Route &route, std::optional<int> ofWorkspace)
+{
+    const auto rank = table.priorityRanks.find(combinedPriority(ofWorkspace, route.priority));
+    return rank == table.priorityRanks.end() ? lowestPriority : rank->second;
+}
+
 void indexRoutes(RouteTable &table)
 {
     table.routeIndex.clear();
     for (std::size_t i = 0; i < table.routes.size(); ++i) {
         table.routeIndex.emplace(indexKey(table.routes[i].host, table.routes[i].prefix), i);
     }
-    markPriorities(table);
+    rankPriorities(table);
 }
 
 const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path)
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,9 @@
     Stream         ///< a series of numbered events; may be resumed if the route allows it
 };
 
+constexpr int lowestPriority = 9;  ///< priorities are 0 to 9; 0 is the most urgent
+constexpr int defaultPriority = 5; ///< of a route or a workspace that states none
+
 /// A service that a route sends requests to.
 struct WeightedService {
     ServiceName service; ///< name in the table
@@ -42,7 +46,7 @@
     milliseconds timeout{0};                 ///< longest time that a caller waits; 0: no limit
     milliseconds targetLatency{0};           ///< time to the response, or to the first event of a stream, that earns full worth
     milliseconds targetGap{0};               ///< longest pause between two events of a stream that earns full worth
-    int priority = 5;                        ///< 0 is the most urgent
+    int priority = defaultPriority;          ///< orders requests of workspaces with the same priority
     int maxAttempts = 1;                     ///< maximum number of targets tried for one attempt of a caller
     bool isPublic = false;                   ///< requires no key
     bool isResumable = false;                ///< a stream may continue at another target after its last event
@@ -95,13 +99,13 @@
     std::string healthPath;            ///< path of health probes (GET)
     int maxConnections = 0;            ///< connections that a target accepts from all callers together
     std::optional<EngineModel> engine; ///< set if its targets hold layer ranges of a model
-    bool hasPriorities = false;        ///< its stream routes differ in priority, so that the order of their requests matters; see indexRoutes()
+    bool hasPriorities = false;        ///< its streams differ in priority, by route or workspace, so that their order matters; see indexRoutes()
 };
 
 /// Owner of an API key.
 struct KeyOwner {
     WorkspaceName workspace;     ///< workspace of the key's callers
-    std::optional<int> priority; ///< overrides the route's priority, if set
+    std::optional<int> priority; ///< goes before the route's priority
 };
 
 /// Limits on what callers send.
@@ -122,12 +126,14 @@
     CallerLimits limits;
 
     std::unordered_map<std::string, std::size_t> routeIndex; ///< host + prefix -> index of the route; see indexRoutes()
+    std::map<int, int> priorityRanks;                        ///< combined priority of workspace and route -> rank from 0; see requestPriority()
 };
 
-constexpr int lowestPriority = 9; ///< priorities are 0 to 9; 0 is the most urgent
-
-/// Fills in routeIndex and ServiceSpec::hasPriorities. Of two routes with the same host and prefix the first one is used.
+/// Fills in routeIndex, priorityRanks and ServiceSpec::hasPriorities. Of two routes with the same host and prefix the first one is used.
 void indexRoutes(RouteTable &table);
+/// Rank of a request, 0 (the most urgent) to lowestPriority: its workspace's priority decides, among equal ones the route's. Beyond ten
+/// different ones the least urgent share a rank.
+int requestPriority(const RouteTable &table, const Route &route, std::optional<int> ofWorkspace);
 /// The route on that host with the longest prefix that matches `path`; null if there is none. `path` excludes the query.
 const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path);
 /// Selects the service for one request; `draw` is uniform in [0, 1). Null if none of the route's services is in the table.
--- a/src/relay/forwarding.h
+++ b/src/relay/forwarding.h
@@ -27,7 +27,7 @@
     const Route *route = nullptr;             ///< part of `routes`
     const ServiceSpec *service = nullptr;     ///< part of `routes`
     WorkspaceName workspace;                  ///< empty on public routes
-    int priority = 5;                         ///< from the workspace or the route; 0 is the most urgent
+    int priority = 5;                         ///< see requestPriority(); 0 is the most urgent
     std::string attemptId;                    ///< attempt id given by the caller
     TimePoint deadline{};                     ///< earlier of the caller's deadline and the configured timeout
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -20,6 +20,7 @@
 #include "relay/request_inputs.h"
 #include "relay/stream_queue.h"
 #include "relay/stream_recovery.h"
+#include "relay/workspace_reports.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
@@ -155,7 +156,7 @@
         return isCurrent ? refuseEarly(context, exchange, 404, request.attemptId, "no route", {})
                          : refuseEarly(context, exchange, 503, request.attemptId, "no route in a configuration that may be old", unknownRetryAfter);
     }
-    request.priority = request.route->priority;
+    request.priority = requestPriority(*request.routes, *request.route, {});
     if (request.routes->requiresKeys && !request.route->isPublic) {
         const auto owner = request.routes->keyOwners.find(std::string(apiKeyOf(head, names.authorizationScheme)));
         if (owner == request.routes->keyOwners.end()) {
@@ -163,7 +164,7 @@
                              : refuseEarly(context, exchange, 503, request.attemptId, "unknown key in a configuration that may be old", unknownRetryAfter);
         }
         request.workspace = owner->second.workspace;
-        request.priority = owner->second.priority.value_or(request.priority);
+        request.priority = requestPriority(*request.routes, *request.route, owner->second.priority);
     }
     forward(std::move(request));
 }
@@ -603,6 +604,7 @@
     state["timerLagMs"] = d->admission->overload().averageLagMs;
     state["recovery"] = recoveryDump(context, d->forwardings, now);
     describeDataCenterChoices(context, state);
+    state["workspaces"] = dumpWorkspaces(context, now);
     state["soundParts"] = context.crashingRequests.soundParts.size();
     state["streamQueues"] = d->streamQueue->describe();
     for (const auto &[id, target] : context.fleet.targets) {
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -13,6 +13,7 @@
 #include "relay/stream_demand.h"
 #include "relay/stream_queue.h"
 #include "relay/stream_recovery.h"
+#include "relay/workspace_reports.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -170,6 +171,7 @@
     int m_recoveries = 0;                  ///< identifies the last queued recovery; earlier ones are ignored
     bool m_isEventMissing = false;         ///< an event is missing, so that this attempt can't be relayed
     StreamQueue::Ticket m_queueTicket = 0; ///< the request waits for room and has not been sent; 0: it does not
+    bool m_isCounted = false;              ///< the stream counts as started by its workspace
 };
 
 /// A stream is not retried after this many refusals by engines: each costs a round trip and a share of the retry budget.
@@ -241,6 +243,7 @@
                       m_attempts);
         end();
     };
+    recordLackOfRoom(m_context, *m_request.service);
     m_queueTicket = m_hooks.streamQueue->add(std::move(stream));
 }
 
@@ -282,6 +285,9 @@
     const FleetFreeCapacity capacity = freeCapacityLeft(m_context.fleet, selectionContext, m_demand);
     const bool isFull = capacity.coversAllLayers;
     const std::string_view reason = isFull ? "no-room" : "no-chain";
+    if (isFull) {
+        recordLackOfRoom(m_context, *m_request.service);
+    }
     if (m_mayHaveRun) {
         failRequest(m_context, m_request, reason, firstTarget(), m_attempts);
         return end();
@@ -327,9 +333,6 @@
 void StreamForwarding::startOnChain(std::vector<ChainStage> chain)
 {
     const TimePoint now = m_context.clock.now();
-    if (isFirstSearch()) {
-        m_hooks.streamQueue->recordStart(makeWaitingRequest(m_context, m_request, m_demand.promptTokens + m_demand.answerTokens));
-    }
     m_isWaitingForChain = false;
     m_leavingSince = TimePoint();
     m_leaveAt = TimePoint();
@@ -343,6 +346,9 @@
     // A resumed stream processes its prompt and the answer up to its last event; each event is the answer tokens of a pass.
     const double tokens = m_demand.promptTokens + static_cast<double>(m_lastEventId) * service.engine->stepsPerPass;
     addChainPrefill(m_context.fleet, *service.engine, m_chain, tokens, std::exchange(m_recoveryMultiplier, 1), now);
+    if (!std::exchange(m_isCounted, true)) {
+        recordStartedStream(m_context, m_request.workspace, m_demand);
+    }
     const HeaderNames &names = m_context.adapter.headers();
     std::vector<AddedField> added = {{names.chain, m_context.adapter.encodeChain(m_chain)}};
     if (m_lastEventId > m_resumeAfterId) {
--- a/src/relay/stream_queue.cpp
+++ b/src/relay/stream_queue.cpp
@@ -35,7 +35,6 @@
     RelayContext &context;
     Timer roomTimer; ///< runs after the iteration of the event loop in which streams ended
     std::map<ServiceName, ServiceQueue> queues{};
-    FairShareLedger ledger{};
     Ticket lastTicket = 0;
     bool isDraining = false;
 
@@ -44,6 +43,8 @@
     void refuseExpired(ServiceQueue &queue, TimePoint now);
     void refuse(const ServiceQueue &queue, const QueuedStream &stream, std::string_view outcome, const RoomForecast &forecast);
     QueuedStream take(ServiceQueue &queue, std::size_t index);
+    FairShareLedger ledger(const ServiceQueue &queue) const;
+    RoomForecast forecastRoom(const ServiceQueue &queue, const WaitingRequest &stream, TimePoint now) const;
 };
 
 static std::size_t priorityIndex(const WaitingRequest &stream)
@@ -76,6 +77,20 @@
     return stream;
 }
 
+/// What the workspaces of the waiting streams used lately, at all relays.
+FairShareLedger StreamQueue::Private::ledger(const ServiceQueue &queue) const
+{
+    return fleetLedger(context.workspaces, queue.order, context.clock.now());
+}
+
+RoomForecast StreamQueue::Private::forecastRoom(const ServiceQueue &queue, const WaitingRequest &stream, TimePoint now) const
+{
+    std::vector<WaitingRequest> withStream = queue.order;
+    withStream.push_back(stream);
+    const FairShareLedger used = fleetLedger(context.workspaces, withStream, now);
+    return Parsleytrail::forecastRoom(queue.order, used, stream, endsPerSecond(queue.ends, now), now);
+}
+
 QueuedStream StreamQueue::Private::take(ServiceQueue &queue, std::size_t index)
 {
     QueuedStream stream = queue.take(index);
@@ -104,7 +119,7 @@
 void StreamQueue::Private::startNext(ServiceQueue &queue, TimePoint now)
 {
     for (;;) {
-        const std::size_t next = nextStream(queue.order, ledger, now);
+        const std::size_t next = nextStream(queue.order, ledger(queue), now);
         if (next == queue.order.size()) {
             return;
         }
@@ -137,7 +152,7 @@
     // One at a time: a refusal completes an exchange, and its connection may deliver a request that is added here.
     for (std::vector<std::size_t> expired = expiredRequests(queue.order, now); !expired.empty(); expired = expiredRequests(queue.order, now)) {
         const QueuedStream stream = take(queue, expired.front());
-        refuse(queue, stream, "late", forecastRoom(queue.order, ledger, stream.order, endsPerSecond(queue.ends, now), now));
+        refuse(queue, stream, "late", forecastRoom(queue, stream.order, now));
     }
 }
 
@@ -160,17 +175,14 @@
 {
     const TimePoint now = d->context.clock.now();
     const auto it = d->queues.find(service);
-    if (it == d->queues.end()) {
-        return forecastRoom({}, d->ledger, stream, 0, now);
-    }
-    return forecastRoom(it->second.order, d->ledger, stream, endsPerSecond(it->second.ends, now), now);
+    return d->forecastRoom(it == d->queues.end() ? ServiceQueue() : it->second, stream, now);
 }
 
 StreamQueue::Ticket StreamQueue::add(QueuedStream stream)
 {
     const TimePoint now = d->context.clock.now();
     ServiceQueue &queue = d->queues[stream.service];
-    const RoomForecast forecast = forecastRoom(queue.order, d->ledger, stream.order, endsPerSecond(queue.ends, now), now);
+    const RoomForecast forecast = d->forecastRoom(queue, stream.order, now);
     if (d->isDraining || !forecast.isInTime) {
         d->refuse(queue, stream, d->isDraining ? "stopping" : "not in time", forecast);
         return 0;
@@ -186,10 +198,10 @@
                                   {"waiting", std::to_string(queue.streams.size())}});
     queue.order.push_back(stream.order);
     queue.streams.emplace_back(ticket, std::move(stream));
-    const std::size_t displaced = displacedStream(queue.order, d->ledger, forecast.endsPerSecond, now);
+    const std::size_t displaced = displacedStream(queue.order, d->ledger(queue), forecast.endsPerSecond, now);
     if (displaced < queue.order.size()) {
         const QueuedStream last = d->take(queue, displaced);
-        d->refuse(queue, last, "displaced", forecastRoom(queue.order, d->ledger, last.order, forecast.endsPerSecond, now));
+        d->refuse(queue, last, "displaced", d->forecastRoom(queue, last.order, now));
     }
     return ticket;
 }
@@ -213,11 +225,6 @@
     }
 }
 
-void StreamQueue::recordStart(const WaitingRequest &stream)
-{
-    Parsleytrail::recordStart(d->ledger, stream, d->context.clock.now());
-}
-
 void StreamQueue::recordEnd(const ServiceName &service)
 {
     ServiceQueue &queue = d->queues[service];
@@ -242,7 +249,7 @@
     for (auto &[service, queue] : d->queues) {
         while (!queue.order.empty()) {
             const QueuedStream stream = d->take(queue, 0);
-            d->refuse(queue, stream, "stopping", forecastRoom(queue.order, d->ledger, stream.order, endsPerSecond(queue.ends, now), now));
+            d->refuse(queue, stream, "stopping", d->forecastRoom(queue, stream.order, now));
         }
     }
 }
--- a/src/relay/stream_queue.h
+++ b/src/relay/stream_queue.h
@@ -54,8 +54,6 @@
     Ticket add(QueuedStream stream);
     /// Removes a stream that ended by itself, because its caller disconnected. Does nothing if it has left already.
     void remove(Ticket ticket);
-    /// Records that a stream of the service started with the given cost in tokens.
-    void recordStart(const WaitingRequest &stream);
     /// Records that a stream of the service ended, which makes room.
     void recordEnd(const ServiceName &service);
     /// Tries the next streams of all services, and refuses those that can't start in time any more.
