Explanation of the chain selection

rateChains() returns the chain that selectChain() would, with the best chain of each data centre, the terms of its cost, and the obstacles of engines that are not usable. Both share the candidates and the cost terms; the random numbers drawn and the results of selectChain() stay the same.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -24,6 +24,17 @@
     std::size_t previous = 0;                              ///< state before the last engine
 };
 
+/// The cost of a path that is continued by a stage.
+static double addedTo(double pathCost, const StageCost &stage)
+{
+    return pathCost + stage.hop + stage.remoteStart + stage.kvPressure + stage.avoidedByPeers + stage.backlog + stage.steps;
+}
+
+double StageCost::total() const
+{
+    return addedTo(0, *this);
+}
+
 double kvCapacity(const EngineModel &model, const RegisteredTarget &registered)
 {
     const AcceleratorKind *kind = findKind(model, registered.accelerator);
@@ -50,6 +61,43 @@
     return names.size() - 1;
 }
 
+/// Why an engine of the service is not used for any stage.
+static EngineObstacle obstacleInChains(const Target &target, const AcceleratorKind *kind, const ChainSelectionContext &context)
+{
+    if (target.registered.layers.count() <= 0) {
+        return EngineObstacle::NoLayers;
+    }
+    if (!kind) {
+        return EngineObstacle::UnknownAccelerator;
+    }
+    if (isUsable(target, context.now)) {
+        return context.excluded.contains(target.registered.id) ? EngineObstacle::FailedThisRequest : EngineObstacle::None;
+    }
+    if (isLeaving(target)) {
+        return EngineObstacle::Draining;
+    }
+    if (target.needsProbe) {
+        return EngineObstacle::NeedsProbe;
+    }
+    return target.failuresInRow > 0 ? EngineObstacle::AvoidedAfterFailures : EngineObstacle::AvoidedAfterRefusals;
+}
+
+/// Why no request is sent to an engine as the first of a chain. It is still used for later stages.
+static EngineObstacle obstacleAsFirst(const Target &target, const ChainSelectionContext &context, const ChainTuning &tuning)
+{
+    const int slots = target.registered.slots;
+    if (slots > 0 && totalOpenRequests(target) >= slots * tuning.slotLimit) {
+        return EngineObstacle::NoFreeSlot;
+    }
+    if (!mayBeginStreams(target, context.now)) {
+        return EngineObstacle::Silent;
+    }
+    if (isPaused(target, context.now)) {
+        return EngineObstacle::Paused;
+    }
+    return context.excludedAsFirst.contains(target.registered.id) ? EngineObstacle::OverRequestLimit : EngineObstacle::None;
+}
+
 static std::vector<Candidate> makeCandidates(const Fleet &fleet, const ChainSelectionContext &context, std::mt19937_64 &random, const ChainTuning &tuning,
                                              std::vector<std::string> &dataCenters)
 {
@@ -58,8 +106,7 @@
     std::vector<Candidate> candidates;
     for (const auto &[id, target] : fleet.targets) {
         const AcceleratorKind *kind = findKind(model, target.registered.accelerator);
-        const bool serves = target.registered.service == context.service && target.registered.layers.count() > 0 && kind;
-        if (!serves || !isUsable(target, context.now) || context.excluded.contains(id)) {
+        if (target.registered.service != context.service || obstacleInChains(target, kind, context) != EngineObstacle::None) {
             continue;
         }
         Candidate candidate;
@@ -72,9 +119,7 @@
         candidate.freeKvTokenLayers = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
         candidate.avoidedMs = target.peersAvoiding > 0 ? tuning.avoidedByPeersMs : 0;
-        const bool hasFreeSlot = target.registered.slots <= 0 || open < target.registered.slots * tuning.slotLimit;
-        const bool takesRequests = mayBeginStreams(target, context.now) && !isPaused(target, context.now);
-        candidate.canBeFirstStage = hasFreeSlot && takesRequests && !context.excludedAsFirst.contains(id);
+        candidate.canBeFirstStage = obstacleAsFirst(target, context, tuning) == EngineObstacle::None;
         candidate.dataCenter = indexOf(dataCenters, target.registered.dataCenter);
         candidates.push_back(candidate);
     }
@@ -112,16 +157,34 @@
     {
         return boundary * dataCenters.size() + dataCenter;
     }
+    double remoteStartCost(std::size_t boundary, const Candidate &candidate) const
+    {
+        return boundary > 0 || dataCenters[candidate.dataCenter] == context.dataCenter ? 0 : tuning.remoteStartMs;
+    }
     double hopCost(std::size_t boundary, std::size_t before, const Candidate &candidate) const
     {
         if (boundary == 0) {
-            return dataCenters[candidate.dataCenter] == context.dataCenter ? 0 : tuning.remoteStartMs;
+            return 0;
         }
         if (before == candidate.dataCenter) {
             return tuning.hopMs;
         }
         return tuning.allowsCrossDataCenter ? tuning.crossDataCenterHopMs : std::numeric_limits<double>::infinity();
     }
+    /// Cost of a stage that continues at an engine, without the steps of its layers.
+    StageCost enteringCost(std::size_t boundary, std::size_t before, const Candidate &candidate) const
+    {
+        StageCost cost;
+        cost.hop = hopCost(boundary, before, candidate);
+        cost.remoteStart = remoteStartCost(boundary, candidate);
+        cost.kvPressure = tuning.kvPressureMs * candidate.kvFill * candidate.kvFill;
+        cost.avoidedByPeers = candidate.avoidedMs;
+        return cost;
+    }
+    double stepsCost(const Candidate &candidate, const LayerRange &range) const
+    {
+        return candidate.stepMsPerLayer * range.count() * keepFactor(candidate.target->registered.id, range);
+    }
     /// Whether a running request may use this stage; its first stage must stay as it is.
     bool isAllowed(const TargetId &id, const LayerRange &layers) const
     {
@@ -148,8 +211,7 @@
         const Candidate &candidate = candidates[index];
         const LayerRange &held = candidate.target->registered.layers;
         const std::size_t fromState = stateAt(boundary, dataCenter);
-        const double pressure = tuning.kvPressureMs * candidate.kvFill * candidate.kvFill;
-        const double base = states[fromState].cost + hopCost(boundary, dataCenter, candidate) + pressure + candidate.avoidedMs;
+        const double base = addedTo(states[fromState].cost, enteringCost(boundary, dataCenter, candidate));
         for (std::size_t next = boundary + 1; next < boundaries.size() && boundaries[next] <= held.to; ++next) {
             const bool isEnd = boundaries[next] == held.to;
             const int layers = boundaries[next] - boundaries[boundary];
@@ -161,7 +223,7 @@
             if (!isAllowed(id, range)) {
                 continue;
             }
-            const double cost = base + candidate.stepMsPerLayer * layers * keepFactor(id, range);
+            const double cost = base + stepsCost(candidate, range);
             PathState &state = states[stateAt(next, candidate.dataCenter)];
             if (cost < state.cost) {
                 state = {cost, index, fromState};
@@ -193,11 +255,16 @@
             const std::size_t state = stateAt(boundaries.size() - 1, dataCenter);
             best = states[state].cost < states[best].cost ? state : best;
         }
+        return chainTo(best);
+    }
+    /// The cheapest chain that ends in a state; empty if there is none.
+    std::vector<ChainStage> chainTo(std::size_t end) const
+    {
         std::vector<ChainStage> chain;
-        if (states[best].candidate < 0) {
+        if (states[end].candidate < 0) {
             return chain;
         }
-        for (std::size_t state = best; state >= dataCenters.size(); state = states[state].previous) {
+        for (std::size_t state = end; state >= dataCenters.size(); state = states[state].previous) {
             const int from = boundaries[states[state].previous / dataCenters.size()];
             const int to = boundaries[state / dataCenters.size()];
             const RegisteredTarget &registered = candidates[states[state].candidate].target->registered;
@@ -206,6 +273,37 @@
         std::reverse(chain.begin(), chain.end());
         return chain;
     }
+    /// The cheapest chain that ends in a data centre, with its cost.
+    RatedChain ratedChain(std::size_t dataCenter) const
+    {
+        const std::size_t end = stateAt(boundaries.size() - 1, dataCenter);
+        RatedChain rated;
+        rated.stages = chainTo(end);
+        rated.cost = states[end].cost;
+        for (std::size_t state = end; states[state].candidate >= 0; state = states[state].previous) {
+            const std::size_t previous = states[state].previous;
+            const std::size_t boundary = previous / dataCenters.size();
+            const Candidate &candidate = candidates[states[state].candidate];
+            StageCost cost = enteringCost(boundary, previous % dataCenters.size(), candidate);
+            cost.steps = stepsCost(candidate, {boundaries[boundary], boundaries[state / dataCenters.size()]});
+            rated.costs.push_back(cost);
+            rated.dataCenter = dataCenters[candidate.dataCenter];
+        }
+        std::reverse(rated.costs.begin(), rated.costs.end());
+        return rated;
+    }
+    /// Whether the KV cache of an engine has room for the shortest stage that it could be used for.
+    bool fitsAnyStage(const Candidate &candidate) const
+    {
+        const LayerRange &held = candidate.target->registered.layers;
+        for (std::size_t boundary = 1; boundary < boundaries.size(); ++boundary) {
+            const LayerRange range{boundaries[boundary - 1], boundaries[boundary]};
+            if (held.contains(range) && tokens * range.count() <= candidate.freeKvTokenLayers) {
+                return true;
+            }
+        }
+        return false;
+    }
 };
 
 static bool hasRepeatedEngine(const std::vector<ChainStage> &chain)
@@ -219,6 +317,20 @@
     return false;
 }
 
+/// Runs the search and returns the chain with the lowest cost.
+static std::vector<ChainStage> findBestChain(ChainSearch &search)
+{
+    search.run();
+    std::vector<ChainStage> chain = search.bestChain();
+    if (hasRepeatedEngine(chain)) {
+        // Engines refuse a chain that names one of them twice.
+        search.usesRangeToEnd = true;
+        search.run();
+        chain = search.bestChain();
+    }
+    return chain;
+}
+
 static bool coverAllLayers(const std::vector<Candidate> &candidates, int layers)
 {
     std::vector<bool> isHeld(layers, false);
@@ -242,15 +354,64 @@
     const std::vector<int> boundaries = boundariesOf(candidates, context);
     const double tokens = plannedKvTokens(demand);
     ChainSearch search{candidates, boundaries, dataCenters, context, tuning, tokens, false};
-    search.run();
-    std::vector<ChainStage> chain = search.bestChain();
-    if (hasRepeatedEngine(chain)) {
-        // Engines refuse a chain that names one of them twice.
-        search.usesRangeToEnd = true;
-        search.run();
-        chain = search.bestChain();
+    return findBestChain(search);
+}
+
+/// What the selection makes of an engine of the service; `candidate` is null if it is left out of chains.
+static RatedEngine rateEngine(const Target &target, const Candidate *candidate, const ChainSearch &search)
+{
+    const ChainSelectionContext &context = search.context;
+    RatedEngine rated;
+    rated.target = &target;
+    rated.inChains = obstacleInChains(target, findKind(*context.model, target.registered.accelerator), context);
+    if (candidate) {
+        rated.inChains = search.fitsAnyStage(*candidate) ? EngineObstacle::None : EngineObstacle::NoFreeKvCache;
+        rated.asFirst = target.registered.layers.from <= 0 ? obstacleAsFirst(target, context, search.tuning) : EngineObstacle::None;
+        rated.kvFill = candidate->kvFill;
     }
-    return chain;
+    return rated;
+}
+
+static std::vector<RatedEngine> rateEngines(const Fleet &fleet, const ChainSearch &search)
+{
+    std::vector<RatedEngine> engines;
+    auto candidate = search.candidates.begin(); // in the order of the fleet
+    for (const auto &[id, target] : fleet.targets) {
+        if (target.registered.service != search.context.service) {
+            continue;
+        }
+        const bool isCandidate = candidate != search.candidates.end() && candidate->target == &target;
+        engines.push_back(rateEngine(target, isCandidate ? &*candidate : nullptr, search));
+        candidate += isCandidate ? 1 : 0;
+    }
+    return engines;
+}
+
+ChainRating rateChains(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random, const ChainTuning &tuning)
+{
+    std::vector<std::string> dataCenters;
+    const std::vector<Candidate> candidates = makeCandidates(fleet, context, random, tuning, dataCenters);
+    const std::vector<int> boundaries = boundariesOf(candidates, context);
+    ChainSearch search{candidates, boundaries, dataCenters, context, tuning, plannedKvTokens(demand), false};
+    ChainRating rating;
+    rating.engines = rateEngines(fleet, search);
+    if (candidates.empty()) {
+        return rating;
+    }
+    rating.selected = findBestChain(search);
+    ChainSearch rangeToEnd = search;
+    rangeToEnd.usesRangeToEnd = true;
+    rangeToEnd.run();
+    for (std::size_t dataCenter = 0; dataCenter < dataCenters.size(); ++dataCenter) {
+        RatedChain chain = search.ratedChain(dataCenter);
+        if (hasRepeatedEngine(chain.stages)) {
+            chain = rangeToEnd.ratedChain(dataCenter);
+        }
+        if (!chain.stages.empty()) {
+            rating.chains.push_back(std::move(chain));
+        }
+    }
+    return rating;
 }
 
 static DataCenterFreeCapacity freeCapacityOf(const std::vector<Candidate> &candidates, std::size_t dataCenter, const EngineModel &model, double tokens,
--- a/src/policy/chain_selection.h
+++ b/src/policy/chain_selection.h
@@ -10,6 +10,7 @@
 #include "policy/fleet.h"
 #include "policy/routes.h"
 
+#include <cstdint>
 #include <random>
 #include <set>
 #include <vector>
@@ -102,4 +103,60 @@
 };
 FleetFreeCapacity freeCapacityLeft(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand);
 
+/// Why an engine is left out of chains, or of the start of chains.
+enum class EngineObstacle : std::uint8_t {
+    None,
+    NoLayers,
+    UnknownAccelerator,   ///< the configuration has no constants for it
+    Draining,             ///< as the registry or the engine itself says
+    NeedsProbe,           ///< failed, and has not answered a probe since
+    AvoidedAfterFailures, ///< its backoff after failures is not over
+    AvoidedAfterRefusals, ///< its backoff after refusals is not over
+    FailedThisRequest,    ///< see ChainSelectionContext::excluded
+    NoFreeKvCache,        ///< has no room for the shortest stage that it could be used for
+    NoFreeSlot,           ///< as first engine only, like all below
+    Silent,               ///< accepted streams and did not begin them
+    Paused,               ///< asked for no requests for a time
+    OverRequestLimit,     ///< see ChainSelectionContext::excludedAsFirst
+};
+
+/// Terms of the cost of a stage, ms; see ChainTuning.
+struct StageCost {
+    double hop = 0;            ///< hop from the engine before
+    double remoteStart = 0;    ///< the chain begins here, in another data centre
+    double kvPressure = 0;     ///< fill of the engine's KV cache
+    double avoidedByPeers = 0; ///< other entries avoid the engine
+    double backlog = 0;        ///< prompts that the engine has to process first
+    double steps = 0;          ///< its layers in a pass, with the random share
+
+    double total() const;
+};
+
+/// The best chain of a data centre.
+struct RatedChain {
+    std::string dataCenter;         ///< data centre of its first engine
+    std::vector<ChainStage> stages; ///< its engines
+    std::vector<StageCost> costs;   ///< of each stage
+    double cost = 0;                ///< sum of all terms, ms
+};
+
+/// An engine of the service, and whether it can be used.
+struct RatedEngine {
+    const Target *target = nullptr;                 ///< part of the fleet
+    EngineObstacle inChains = EngineObstacle::None; ///< why it is used for no stage
+    EngineObstacle asFirst = EngineObstacle::None;  ///< why no chain begins at it, although it holds the first layer
+    double kvFill = 0;                              ///< KV cache in use: 1 is all that may be planned for; 0 if it is left out
+};
+
+/// All that a selection depends on.
+struct ChainRating {
+    std::vector<ChainStage> selected; ///< what selectChain() returns
+    std::vector<RatedChain> chains;   ///< best chain of each data centre that a chain ends in
+    std::vector<RatedEngine> engines; ///< all engines of the service
+};
+
+/// The same selection as selectChain(), with what it was based on. Draws the same random numbers. Slower: for explanations.
+ChainRating rateChains(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                       const ChainTuning &tuning = {});
+
 } // namespace Parsleytrail
