GET /explain on the relay's metrics port, and parsleyctl explain

States where a request would go now and why: route, priority, the best chain of each data centre with the terms of its cost, engines that are not usable, targets of plain services, and limits. Works on copies of the random generator, budgets and demands, so that nothing changes.

--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -12,7 +12,9 @@
     request.method = method;
     request.path = path;
     request.headers = headers;
-    request.headers.push_back({"Authorization", "Bearer " + endpoint.key});
+    if (!endpoint.key.empty()) {
+        request.headers.push_back({"Authorization", "Bearer " + endpoint.key});
+    }
     request.body = body;
     request.timeout = endpoint.timeout;
     request.useFreshConnection = true;
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -1,4 +1,4 @@
-// Synchronous HTTP requests to an entry's operator port.
+// Synchronous HTTP requests to an entry's operator port, or to a relay's metrics port.
 #pragma once
 
 #include "http/client.h"
@@ -8,8 +8,8 @@
 
 /// Address and credential of an operator request.
 struct OperatorEndpoint {
-    Address address;             ///< operator port of an entry
-    std::string key;             ///< operators' credential, sent as a bearer token
+    Address address;             ///< operator port of an entry, or metrics port of a relay
+    std::string key;             ///< operators' credential, sent as a bearer token; empty: none is sent
     milliseconds timeout{10000}; ///< longest wait for the response
 };
 
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -13,6 +13,16 @@
 
 enum ExitStatus { ExitDone = 0, ExitRefused = 1, ExitUsage = 2, ExitUnreachable = 3, ExitUnknown = 4 };
 
+/// The request that explain asks a relay about; empty values are not sent.
+struct ExplainOptions {
+    Address relay;         ///< --relay: metrics port of the relay
+    std::string host;      ///< --host: value of the request's Host field
+    std::string path;      ///< --path: path of the request
+    std::string workspace; ///< --workspace: its own priority replaces the route's
+    std::string prompt;    ///< --prompt: length of the prompt, tokens
+    std::string answer;    ///< --answer: expected length of the answer, tokens
+};
+
 /// Command-line options of all commands.
 struct CtlOptions {
     OperatorEndpoint endpoint;       ///< operator port of the entry to contact
@@ -26,6 +36,7 @@
     std::string from;                ///< --from: first hour or day of the report, UTC
     std::string to;                  ///< --to: hour or day after the last, UTC
     std::string by = "workspace";    ///< --by: workspace, service or model
+    ExplainOptions explain;          ///< for explain only
 };
 
 int runCheck(const CtlOptions &options, const std::string &file);
@@ -37,6 +48,7 @@
 int runWait(const CtlOptions &options);
 int runDump(const CtlOptions &options);
 int runReport(const CtlOptions &options);
+int runExplain(const CtlOptions &options);
 int runVersion(const CtlOptions &options);
 
 } // namespace Parsleytrail
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -22,6 +22,12 @@
 ABSL_FLAG(std::string, to, "", "report: hour or day after the last, UTC");
 ABSL_FLAG(std::string, by, "workspace", "report: workspace, service or model");
 ABSL_FLAG(int, limit, 20, "history: number of versions");
+ABSL_FLAG(std::string, relay, "", "explain: metrics port of a relay, host:port");
+ABSL_FLAG(std::string, host, "", "explain: host of the request");
+ABSL_FLAG(std::string, path, "", "explain: path of the request");
+ABSL_FLAG(std::string, workspace, "", "explain: workspace of the caller");
+ABSL_FLAG(std::string, prompt, "", "explain: length of the prompt, tokens");
+ABSL_FLAG(std::string, answer, "", "explain: expected length of the answer, tokens");
 
 using namespace Parsleytrail;
 
@@ -39,6 +45,7 @@
   wait          wait until a version is in force everywhere; lists the processes without it
   report        report usage: requests, worth, tokens, accelerator time and cost
   dump          print the state dump of the entry
+  explain       show where a request would go now and why, as a relay decides it; nothing is sent
   version       print the version of this program
 
 Options:
@@ -52,6 +59,11 @@
   --from, --to        report: hours or days, UTC, as 2026-12-03T14 or 2026-12-03 (default the last 24 hours)
   --by=WHAT           report: workspace, service or model
   --limit=N           history: number of versions (default 20)
+  --relay=HOST:PORT   explain: metrics port of the relay
+  --host, --path      explain: host and path of the request
+  --workspace=NAME    explain: workspace whose own priority counts
+  --prompt=N          explain: length of the prompt, tokens (default the model's usual one)
+  --answer=N          explain: expected length of the answer, tokens (default the model's usual one)
 
 Exit: 0 done, 1 refused, 2 wrong usage, 3 unreachable, 4 outcome unknown.
 
@@ -60,6 +72,7 @@
   parsleyctl apply studio.ini --wait
   parsleyctl status --format=json
   parsleyctl report --from=2026-12-01 --to=2026-12-02 --by=workspace --format=csv
+  parsleyctl explain --relay=10.0.0.5:9100 --host=host.example --path=/chat/x --prompt=900
 )";
 
 static std::string environmentValue(const char *name, const char *fallback)
@@ -93,13 +106,37 @@
     return true;
 }
 
+/// Sets the options of explain from the flags. Prints the reason and returns false if one is missing or invalid.
+static bool readExplainOptions(ExplainOptions &options)
+{
+    options.host = absl::GetFlag(FLAGS_host);
+    options.path = absl::GetFlag(FLAGS_path);
+    options.workspace = absl::GetFlag(FLAGS_workspace);
+    options.prompt = absl::GetFlag(FLAGS_prompt);
+    options.answer = absl::GetFlag(FLAGS_answer);
+    Error error;
+    const auto parse = [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(options.relay, parseAddress(absl::GetFlag(FLAGS_relay)));
+        return {};
+    };
+    if (!runCatching(parse, error)) {
+        std::cerr << "--relay: " << error.toString() << '\n';
+        return false;
+    }
+    if (options.host.empty() || options.path.empty()) {
+        std::cerr << "explain: expected --host and --path\n";
+        return false;
+    }
+    return true;
+}
+
 static int runCommand(const CtlOptions &options, const std::vector<std::string> &arguments)
 {
     const std::map<std::string, std::function<int(const CtlOptions &, const std::string &)>> commandsWithFile = {
         {"check", runCheck}, {"apply", runApply}, {"diff", runDiff}};
     const std::map<std::string, std::function<int(const CtlOptions &)>> commandsWithoutFile = {
-        {"show", runShow}, {"history", runHistory}, {"status", runStatus},  {"wait", runWait},
-        {"dump", runDump}, {"report", runReport},   {"version", runVersion}};
+        {"show", runShow}, {"history", runHistory}, {"status", runStatus},   {"wait", runWait},
+        {"dump", runDump}, {"report", runReport},   {"explain", runExplain}, {"version", runVersion}};
     const bool hasCommand = !arguments.empty();
     if (hasCommand && arguments.size() == 2 && commandsWithFile.count(arguments[0])) {
         return commandsWithFile.at(arguments[0])(options, arguments[1]);
@@ -136,7 +173,8 @@
     options.version = absl::GetFlag(FLAGS_at_version);
     options.waitTimeout = std::chrono::seconds(absl::GetFlag(FLAGS_timeout));
     options.limit = absl::GetFlag(FLAGS_limit);
-    if (!readEndpoint(options)) {
+    const bool isExplain = positional.size() == 2 && std::string(positional[1]) == "explain";
+    if (!(isExplain ? readExplainOptions(options.explain) : readEndpoint(options))) {
         return ExitUsage;
     }
     return runCommand(options, {positional.begin() + 1, positional.end()});
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -18,7 +18,7 @@
     return limits;
 }
 
-static RetryBudget &retryBudgetOf(RelayContext &context, const ServiceName &service)
+RetryBudget copyOfRetryBudget(const RelayContext &context, const ServiceName &service)
 {
     const auto it = context.retryBudgets.find(service);
     if (it != context.retryBudgets.end()) {
@@ -28,7 +28,13 @@
     if (context.hasRetryShare) {
         grantRetryBurst(budget);
     }
-    return context.retryBudgets.emplace(service, budget).first->second;
+    return budget;
+}
+
+static RetryBudget &retryBudgetOf(RelayContext &context, const ServiceName &service)
+{
+    const auto it = context.retryBudgets.find(service);
+    return it != context.retryBudgets.end() ? it->second : context.retryBudgets.emplace(service, copyOfRetryBudget(context, service)).first->second;
 }
 
 void recordReachableEntries(RelayContext &context, int reachable)
@@ -92,15 +98,21 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
-TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service)
+TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service)
 {
     const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, entriesToShareWith(context.entryCount, context.clock.now()));
-    TokenBucket &budget = context.crossDataCenterBudgets[service.name];
+    const auto it = context.crossDataCenterBudgets.find(service.name);
+    TokenBucket budget = it != context.crossDataCenterBudgets.end() ? it->second : TokenBucket();
     budget.perSecond = configured.perSecond;
     budget.burst = configured.burst;
     return budget;
 }
 
+TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service)
+{
+    return context.crossDataCenterBudgets[service.name] = copyOfCrossDataCenterBudget(context, service);
+}
+
 void recordLeavingStatement(RelayContext &context, const TargetId &id, std::string_view text)
 {
     Target *target = findTarget(context.fleet, id);
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -79,12 +79,16 @@
 bool hasRetryBudget(RelayContext &context, const ServiceName &service);
 /// Whether more than half of this entry's share is left. Optional retries are made only then.
 bool hasAmpleRetryBudget(RelayContext &context, const ServiceName &service);
+/// Copy of this entry's share of the service's budget, without creating one.
+RetryBudget copyOfRetryBudget(const RelayContext &context, const ServiceName &service);
 /// Adds a request to the service's retry budget, which grows with the number of requests.
 void recordRequest(RelayContext &context, const ServiceName &service);
 
 /// Token bucket for this entry's share of the link between data centres that a service uses, with the rate and burst of the newest
 /// configuration.
 TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service);
+/// Copy of that token bucket, without creating one.
+TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service);
 
 /// Whether a request may be sent to a target, which may have named a limit of requests a second. Counts the request as wanted there.
 bool admitRequest(RelayContext &context, Target &target);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -11,6 +11,7 @@
 #include "relay/caller_session.h"
 #include "relay/crash_guard.h"
 #include "relay/engine_prober.h"
+#include "relay/explain.h"
 #include "relay/forwarded_request.h"
 #include "relay/lease_manager.h"
 #include "relay/placement_controller.h"
@@ -92,6 +93,7 @@
     bool shouldSeekLease();
     void schedulePlan();
     void answerPeer(const ExchangePtr &exchange) const;
+    void explain(const ExchangePtr &exchange) const;
     void checkDrain();
 };
 
@@ -341,6 +343,18 @@
     exchange->reply(200, headers, registry->copyTable(exchange->request().body, isCompressed));
 }
 
+/// Answers a request to the metrics port for an explanation.
+void Relay::Private::explain(const ExchangePtr &exchange) const
+{
+    RelayCondition condition;
+    condition.isDraining = isDraining;
+    condition.isConfigurationFresh = registry->isConfigurationFresh();
+    condition.openRequests = static_cast<int>(forwardings.size());
+    condition.openRequestsLimit = static_cast<int>(admission->overload().openLimit);
+    const Explanation explanation = explainRequest(context, condition, exchange->request().query);
+    exchange->reply(explanation.status, {{"Content-Type", "application/json"}}, explanation.body);
+}
+
 // [SECTION] Start and stop
 
 /// Whether the settings name a seed other than this process.
@@ -438,6 +452,9 @@
         if (exchange->request().path == "/state") {
             return exchange->reply(200, {{"Content-Type", "application/json"}}, dumpState());
         }
+        if (exchange->request().path == "/explain") {
+            return data.explain(exchange);
+        }
         exchange->reply(404, {}, {});
     });
     BOOST_LEAF_CHECK(data.metricsServer->listen({settings.host, static_cast<std::uint16_t>(settings.metricsPort)}));
