--- a/src/policy/chain_explanation.cpp
+++ b/src/policy/chain_explanation.cpp
@@ -73,7 +73,7 @@
     const EngineModel &model = *context.model;
     ExplainedChain chain;
     chain.dataCenter = rated.dataCenter;
-    chain.cost = rated.cost;
+    chain.cost = rated.costMs;
     for (std::size_t i = 0; i < rated.stages.size(); ++i) {
         const ChainStage &stage = rated.stages[i];
         const Target &target = *findTarget(fleet, stage.id);
--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -1,5 +1,7 @@
 #include "policy/chain_selection.h"
 
+#include "policy/prefill_forecast.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -13,6 +15,7 @@
     double freeKvTokenLayers = 0;   ///< KV cache left of the share that may be planned for, tokens x layers
     double kvFill = 0;              ///< KV cache in use, relative to the share that may be planned for: 0 empty, 1 full
     double avoidedMs = 0;           ///< cost added because other entries avoid it
+    double backlogMs = 0;           ///< time until it has processed the prompts that it was sent
     bool canBeFirstStage = true;    ///< accepts further requests from entries; one that does not is still used for later stages
     std::size_t dataCenter = 0;     ///< index of its name
 };
@@ -27,7 +30,7 @@
 /// The cost of a path that is continued by a stage.
 static double addedTo(double pathCost, const StageCost &stage)
 {
-    return pathCost + stage.hop + stage.remoteStart + stage.kvPressure + stage.avoidedByPeers + stage.backlog + stage.steps;
+    return pathCost + stage.hop + stage.remoteStart + stage.kvPressure + stage.avoidedByPeers + (stage.steps + stage.backlog);
 }
 
 double StageCost::total() const
@@ -106,7 +109,8 @@
     std::vector<Candidate> candidates;
     for (const auto &[id, target] : fleet.targets) {
         const AcceleratorKind *kind = findKind(model, target.registered.accelerator);
-        if (target.registered.service != context.service || obstacleInChains(target, kind, context) != EngineObstacle::None) {
+        const bool isElsewhere = !tuning.onlyDataCenter.empty() && target.registered.dataCenter != tuning.onlyDataCenter;
+        if (target.registered.service != context.service || isElsewhere || obstacleInChains(target, kind, context) != EngineObstacle::None) {
             continue;
         }
         Candidate candidate;
@@ -119,6 +123,7 @@
         candidate.freeKvTokenLayers = capacity - used;
         candidate.kvFill = capacity > 0 ? used / capacity : 1;
         candidate.avoidedMs = target.peersAvoiding > 0 ? tuning.avoidedByPeersMs : 0;
+        candidate.backlogMs = model.prefillChunkTokens > 0 ? prefillBacklogMs(target, context.now) : 0;
         candidate.canBeFirstStage = obstacleAsFirst(target, context, tuning) == EngineObstacle::None;
         candidate.dataCenter = indexOf(dataCenters, target.registered.dataCenter);
         candidates.push_back(candidate);
@@ -171,7 +176,7 @@
         }
         return tuning.allowsCrossDataCenter ? tuning.crossDataCenterHopMs : std::numeric_limits<double>::infinity();
     }
-    /// Cost of a stage that continues at an engine, without the steps of its layers.
+    /// Cost of a stage that continues at an engine, without the terms that depend on its layers.
     StageCost enteringCost(std::size_t boundary, std::size_t before, const Candidate &candidate) const
     {
         StageCost cost;
@@ -181,10 +186,6 @@
         cost.avoidedByPeers = candidate.avoidedMs;
         return cost;
     }
-    double stepsCost(const Candidate &candidate, const LayerRange &range) const
-    {
-        return candidate.stepMsPerLayer * range.count() * keepFactor(candidate.target->registered.id, range);
-    }
     /// Whether a running request may use this stage; its first stage must stay as it is.
     bool isAllowed(const TargetId &id, const LayerRange &layers) const
     {
@@ -195,12 +196,20 @@
     {
         return boundary > 0 || !context.current.empty() || candidate.canBeFirstStage;
     }
-    double keepFactor(const TargetId &id, const LayerRange &layers) const
+    bool isKept(const TargetId &id, const LayerRange &layers) const
     {
-        const bool isKept = std::any_of(context.current.begin(), context.current.end(), [&](const ChainStage &stage) {
+        return std::any_of(context.current.begin(), context.current.end(), [&](const ChainStage &stage) {
             return isSameStage(stage, id, layers);
         });
-        return isKept ? tuning.keptStageFactor : 1;
+    }
+    /// Adds the terms that depend on the layers of a stage. A stage that the running request already has holds its KV cache: it does not
+    /// wait for the prompts of others.
+    void addLayersCost(StageCost &cost, const Candidate &candidate, const LayerRange &layers) const
+    {
+        const double passMs = candidate.stepMsPerLayer * layers.count();
+        const bool keeps = isKept(candidate.target->registered.id, layers);
+        cost.steps = keeps ? passMs * tuning.keptStageFactor : passMs;
+        cost.backlog = keeps ? 0 : candidate.backlogMs;
     }
     static bool isSameStage(const ChainStage &stage, const TargetId &id, const LayerRange &layers)
     {
@@ -211,7 +220,7 @@
         const Candidate &candidate = candidates[index];
         const LayerRange &held = candidate.target->registered.layers;
         const std::size_t fromState = stateAt(boundary, dataCenter);
-        const double base = addedTo(states[fromState].cost, enteringCost(boundary, dataCenter, candidate));
+        StageCost stage = enteringCost(boundary, dataCenter, candidate);
         for (std::size_t next = boundary + 1; next < boundaries.size() && boundaries[next] <= held.to; ++next) {
             const bool isEnd = boundaries[next] == held.to;
             const int layers = boundaries[next] - boundaries[boundary];
@@ -223,7 +232,8 @@
             if (!isAllowed(id, range)) {
                 continue;
             }
-            const double cost = base + stepsCost(candidate, range);
+            addLayersCost(stage, candidate, range);
+            const double cost = addedTo(states[fromState].cost, stage);
             PathState &state = states[stateAt(next, candidate.dataCenter)];
             if (cost < state.cost) {
                 state = {cost, index, fromState};
@@ -248,7 +258,7 @@
             }
         }
     }
-    std::vector<ChainStage> bestChain() const
+    RatedChain bestChain() const
     {
         std::size_t best = stateAt(boundaries.size() - 1, 0);
         for (std::size_t dataCenter = 1; dataCenter < dataCenters.size(); ++dataCenter) {
@@ -257,35 +267,34 @@
         }
         return chainTo(best);
     }
-    /// The cheapest chain that ends in a state; empty if there is none.
-    std::vector<ChainStage> chainTo(std::size_t end) const
+    /// The cheapest chain that ends in a state, without the costs of its stages.
+    RatedChain chainTo(std::size_t end) const
     {
-        std::vector<ChainStage> chain;
+        RatedChain chain;
         if (states[end].candidate < 0) {
             return chain;
         }
+        chain.costMs = states[end].cost;
         for (std::size_t state = end; state >= dataCenters.size(); state = states[state].previous) {
             const int from = boundaries[states[state].previous / dataCenters.size()];
             const int to = boundaries[state / dataCenters.size()];
             const RegisteredTarget &registered = candidates[states[state].candidate].target->registered;
-            chain.push_back({registered.id, registered.address, {from, to}});
+            chain.stages.push_back({registered.id, registered.address, {from, to}});
         }
-        std::reverse(chain.begin(), chain.end());
+        std::reverse(chain.stages.begin(), chain.stages.end());
         return chain;
     }
-    /// The cheapest chain that ends in a data centre, with its cost.
-    RatedChain ratedChain(std::size_t dataCenter) const
+    /// The cheapest chain that ends in a data centre, with the costs of its stages.
+    RatedChain chainWithCosts(std::size_t dataCenter) const
     {
         const std::size_t end = stateAt(boundaries.size() - 1, dataCenter);
-        RatedChain rated;
-        rated.stages = chainTo(end);
-        rated.cost = states[end].cost;
+        RatedChain rated = chainTo(end);
         for (std::size_t state = end; states[state].candidate >= 0; state = states[state].previous) {
             const std::size_t previous = states[state].previous;
             const std::size_t boundary = previous / dataCenters.size();
             const Candidate &candidate = candidates[states[state].candidate];
             StageCost cost = enteringCost(boundary, previous % dataCenters.size(), candidate);
-            cost.steps = stepsCost(candidate, {boundaries[boundary], boundaries[state / dataCenters.size()]});
+            addLayersCost(cost, candidate, {boundaries[boundary], boundaries[state / dataCenters.size()]});
             rated.costs.push_back(cost);
             rated.dataCenter = dataCenters[candidate.dataCenter];
         }
@@ -318,11 +327,11 @@
 }
 
 /// Runs the search and returns the chain with the lowest cost.
-static std::vector<ChainStage> findBestChain(ChainSearch &search)
+static RatedChain findBestChain(ChainSearch &search)
 {
     search.run();
-    std::vector<ChainStage> chain = search.bestChain();
-    if (hasRepeatedEngine(chain)) {
+    RatedChain chain = search.bestChain();
+    if (hasRepeatedEngine(chain.stages)) {
         // Engines refuse a chain that names one of them twice.
         search.usesRangeToEnd = true;
         search.run();
@@ -343,8 +352,8 @@
     return std::find(isHeld.begin(), isHeld.end(), false) == isHeld.end();
 }
 
-std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
-                                    const ChainTuning &tuning)
+RatedChain selectRatedChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                            const ChainTuning &tuning)
 {
     std::vector<std::string> dataCenters;
     const std::vector<Candidate> candidates = makeCandidates(fleet, context, random, tuning, dataCenters);
@@ -398,14 +407,14 @@
     if (candidates.empty()) {
         return rating;
     }
-    rating.selected = findBestChain(search);
+    rating.selected = findBestChain(search).stages;
     ChainSearch rangeToEnd = search;
     rangeToEnd.usesRangeToEnd = true;
     rangeToEnd.run();
     for (std::size_t dataCenter = 0; dataCenter < dataCenters.size(); ++dataCenter) {
-        RatedChain chain = search.ratedChain(dataCenter);
+        RatedChain chain = search.chainWithCosts(dataCenter);
         if (hasRepeatedEngine(chain.stages)) {
-            chain = rangeToEnd.ratedChain(dataCenter);
+            chain = rangeToEnd.chainWithCosts(dataCenter);
         }
         if (!chain.stages.empty()) {
             rating.chains.push_back(std::move(chain));
@@ -414,6 +423,36 @@
     return rating;
 }
 
+std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                                    const ChainTuning &tuning)
+{
+    return selectRatedChain(fleet, context, demand, random, tuning).stages;
+}
+
+void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now)
+{
+    if (model.prefillChunkTokens <= 0) {
+        return;
+    }
+    for (const ChainStage &stage : chain) {
+        Target *target = findTarget(fleet, stage.id);
+        const AcceleratorKind *kind = target ? findKind(model, target->registered.accelerator) : nullptr;
+        if (kind) {
+            addPrefill(*target, multiplier * prefillMs(model, *kind, tokens, stage.layers.count()), now);
+        }
+    }
+}
+
+double chainBacklogMs(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now)
+{
+    double backlogMs = 0;
+    for (const ChainStage &stage : chain) {
+        const Target *target = findTarget(fleet, stage.id);
+        backlogMs = std::max(backlogMs, target ? prefillBacklogMs(*target, now) : 0);
+    }
+    return backlogMs;
+}
+
 static DataCenterFreeCapacity freeCapacityOf(const std::vector<Candidate> &candidates, std::size_t dataCenter, const EngineModel &model, double tokens,
                                              const ChainTuning &tuning)
 {
@@ -427,6 +466,7 @@
         ++freeCapacity.engines;
         const int open = totalOpenRequests(*candidate.target);
         freeCapacity.freeSlots += registered.layers.from == 0 ? std::max(0, static_cast<int>(registered.slots * tuning.slotLimit) - open) : 0;
+        freeCapacity.hasSlots = freeCapacity.hasSlots || (registered.layers.from == 0 && registered.slots > 0);
         const LayerRange held = registered.layers.within(model.layers);
         for (int layer = held.from; layer < held.to; ++layer) {
             streams[layer] += std::max(0.0, candidate.freeKvTokenLayers / (tokens * registered.layers.count()));
@@ -438,6 +478,11 @@
     return freeCapacity;
 }
 
+int fittingStreams(const DataCenterFreeCapacity &capacity)
+{
+    return capacity.hasSlots ? std::min(capacity.streams, capacity.freeSlots) : capacity.streams;
+}
+
 FleetFreeCapacity freeCapacityLeft(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand)
 {
     std::mt19937_64 random; // NOLINT(bugprone-random-generator-seed,cert-msc51-cpp): costs don't matter
--- a/src/policy/chain_selection.h
+++ b/src/policy/chain_selection.h
@@ -46,6 +46,7 @@
     TimePoint now{};                    ///< engines that are avoided at this time are left out
     std::set<TargetId> excluded;        ///< engines that already failed this request
     std::set<TargetId> excludedAsFirst; ///< engines that must not be the first of the chain
+    TimePoint nextEventDue{};           ///< when the caller should have the next event; zero: no target. See policy/data_center_choice.h
     std::vector<ChainStage> current;    ///< chain of a running request: its first stage is kept, the others if possible; empty for a new request
 };
 
@@ -58,6 +59,8 @@
     double crossDataCenterHopMs = 400;
     /// Whether chains may span data centres; see policy/cross_data_center_budget.h.
     bool allowsCrossDataCenter = true;
+    /// Engines of all other data centres are left out; empty: none are.
+    std::string onlyDataCenter{};
     /// Cost of a chain that begins in another data centre than the entry. Only the bytes of events cross the link, but the
     /// selection uses loads that all entries share and that are some hundred milliseconds old: without this cost the entries of
     /// all data centres would select the same few engines until the next report. It exceeds the cost of a loaded chain, so that
@@ -85,14 +88,46 @@
 /// Memory of an engine that its layers leave for KV cache, tokens x layers; 0 if its accelerator is not configured.
 double kvCapacity(const EngineModel &model, const RegisteredTarget &registered);
 
+/// Terms of the cost of a stage, ms; see ChainTuning.
+struct StageCost {
+    double hop = 0;            ///< hop from the engine before
+    double remoteStart = 0;    ///< the chain begins here, in another data centre
+    double kvPressure = 0;     ///< fill of the engine's KV cache
+    double avoidedByPeers = 0; ///< other entries avoid the engine
+    double backlog = 0;        ///< prompts that the engine has to process first
+    double steps = 0;          ///< its layers in a pass, with the random share
+
+    double total() const;
+};
+
+/// A chain and its cost.
+struct RatedChain {
+    std::vector<ChainStage> stages; ///< empty: there is none
+    double costMs = 0;              ///< time of a pass with all surcharges of ChainTuning
+    std::vector<StageCost> costs;   ///< of each stage, with costMs as their sum; filled by rateChains() only
+    std::string dataCenter;         ///< data centre of its first engine; filled by rateChains() only
+};
+
+/// The chain with the lowest cost, with that cost; no stages if there is none.
+RatedChain selectRatedChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                            const ChainTuning &tuning = {});
 /// The chain with the lowest cost; empty if the usable engines don't cover all layers, or lack free KV cache or slots.
 std::vector<ChainStage> selectChain(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
                                     const ChainTuning &tuning = {});
+
+/// Adds the time to process `tokens` to the forecast (policy/prefill_forecast.h) of each engine of `chain`. In a move, `chain` holds only
+/// the stages that have to process the tokens. `multiplier` is the number of entries' work that this entry's stands for:
+/// recoveryMultiplier() after the loss of an engine, otherwise 1. Does nothing if the model has no forecast.
+void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now);
+/// The largest backlog of prompts of the chain's engines, ms.
+double chainBacklogMs(const Fleet &fleet, const std::vector<ChainStage> &chain, TimePoint now);
+
 /// Free capacity of a data centre as this entry sees it.
 struct DataCenterFreeCapacity {
     std::string dataCenter;  ///< name of the data centre
     int engines = 0;         ///< usable engines
     int freeSlots = 0;       ///< free request slots of all engines that hold layer 0
+    bool hasSlots = false;   ///< an engine that holds layer 0 states its slots; otherwise they are not limited
     int streams = 0;         ///< further streams that fit the KV cache of its bottleneck layer
     int bottleneckLayer = 0; ///< layer with the least free KV cache; the first of several
 };
@@ -101,6 +136,8 @@
     std::vector<DataCenterFreeCapacity> dataCenters; ///< data centres with usable engines
     bool coversAllLayers = false;                    ///< whether usable engines hold all layers, full or not: tells a full fleet from uncovered layers
 };
+/// Streams that still fit the KV caches and, if they are limited, the slots of a data centre.
+int fittingStreams(const DataCenterFreeCapacity &capacity);
 FleetFreeCapacity freeCapacityLeft(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand);
 
 /// Why an engine is left out of chains, or of the start of chains.
@@ -120,26 +157,6 @@
     OverRequestLimit,     ///< see ChainSelectionContext::excludedAsFirst
 };
 
-/// Terms of the cost of a stage, ms; see ChainTuning.
-struct StageCost {
-    double hop = 0;            ///< hop from the engine before
-    double remoteStart = 0;    ///< the chain begins here, in another data centre
-    double kvPressure = 0;     ///< fill of the engine's KV cache
-    double avoidedByPeers = 0; ///< other entries avoid the engine
-    double backlog = 0;        ///< prompts that the engine has to process first
-    double steps = 0;          ///< its layers in a pass, with the random share
-
-    double total() const;
-};
-
-/// The best chain of a data centre.
-struct RatedChain {
-    std::string dataCenter;         ///< data centre of its first engine
-    std::vector<ChainStage> stages; ///< its engines
-    std::vector<StageCost> costs;   ///< of each stage
-    double cost = 0;                ///< sum of all terms, ms
-};
-
 /// An engine of the service, and whether it can be used.
 struct RatedEngine {
     const Target *target = nullptr;                 ///< part of the fleet
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -2,7 +2,6 @@
 
 #include "base/log.h"
 #include "base/text.h"
-#include "policy/cross_data_center_budget.h"
 
 #include <algorithm>
 
@@ -39,6 +38,7 @@
 
 void recordReachableEntries(RelayContext &context, int reachable)
 {
+    context.peersHeardAt = reachable > 0 ? context.clock.now() : context.peersHeardAt;
     context.entryCount.mostPeersSeen = std::max(context.entryCount.mostPeersSeen, reachable);
 }
 
@@ -66,6 +66,11 @@
     return retryBudgetOf(context, service).available >= 1;
 }
 
+bool mayConsumeServiceRetry(RelayContext &context, const ServiceName &service, bool hasMoreUrgentStreams)
+{
+    return mayConsumeRetry(retryBudgetOf(context, service), hasMoreUrgentStreams);
+}
+
 bool hasAmpleRetryBudget(RelayContext &context, const ServiceName &service)
 {
     const RetryBudget &budget = retryBudgetOf(context, service);
@@ -98,9 +103,18 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+bool hearsNoPeers(const RelayContext &context)
+{
+    const bool mayHavePeers = context.entryCount.mayHavePeers || context.entryCount.mostPeersSeen > 0;
+    return mayHavePeers && context.clock.now() - context.peersHeardAt >= maxReportAge;
+}
+
 TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service)
 {
-    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, entriesToShareWith(context.entryCount, context.clock.now()));
+    const double share = demandShare(context.fleet, service.name, hearsNoPeers(context), entriesToShareWith(context.entryCount, context.clock.now()));
+    const auto link = context.observedLinks.find(service.name);
+    const double rateFactor = link != context.observedLinks.end() ? link->second.rateFactor : ObservedLink().rateFactor;
+    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, share * rateFactor);
     const auto it = context.crossDataCenterBudgets.find(service.name);
     TokenBucket budget = it != context.crossDataCenterBudgets.end() ? it->second : TokenBucket();
     budget.perSecond = configured.perSecond;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -10,6 +10,7 @@
 #include "relay/caller_admission.h"
 #include "relay/caller_session.h"
 #include "relay/crash_guard.h"
+#include "relay/data_center_search.h"
 #include "relay/engine_prober.h"
 #include "relay/explain.h"
 #include "relay/forwarded_request.h"
@@ -18,6 +19,7 @@
 #include "relay/registry.h"
 #include "relay/relay_peers.h"
 #include "relay/request_inputs.h"
+#include "relay/stream_recovery.h"
 #include "wire/compression.h"
 
 #include <nlohmann/json.hpp>
@@ -66,6 +68,7 @@
     std::unique_ptr<HttpServer> readinessServer{};
     std::unique_ptr<HttpServer> metricsServer{};
     std::unique_ptr<HttpServer> peerServer{};
+    std::unique_ptr<RecoveryQueue> recoveryQueue{};
     std::unique_ptr<Timer> forwardingTimer{};
     std::unique_ptr<Timer> leaveTimer{};
     std::unique_ptr<Timer> drainTimer{};
@@ -236,7 +239,7 @@
 
 void Relay::Private::moveStreamsFrom(const TargetId &unresponsive)
 {
-    for (const ForwardingPtr &forwarding : std::vector<ForwardingPtr>(forwardings)) {
+    for (const ForwardingPtr &forwarding : orderedStreamsOf(context, forwardings, unresponsive)) {
         forwarding->handleFailedTarget(unresponsive);
     }
 }
@@ -396,6 +399,7 @@
     });
     data.budgetTimer = std::make_unique<Timer>(loop, [&data] {
         updateBudgetShares(data.context);
+        adaptDataCenterChoices(data.context);
     });
     EngineProber::Handlers onProbe;
     onProbe.onUnresponsive = [&data](const TargetId &id) {
@@ -409,6 +413,13 @@
     data.hooks.moveStream = [&data](const std::string &attemptId, const std::vector<ChainStage> &chain, std::function<void(bool)> done) {
         data.moveStream(attemptId, chain, std::move(done));
     };
+    data.recoveryQueue = std::make_unique<RecoveryQueue>(loop);
+    data.hooks.recoverInOrder = [&data](const LostStream &stream, std::function<void()> recover) {
+        data.recoveryQueue->add(stream, std::move(recover));
+    };
+    data.hooks.hasMoreUrgentStreams = [&data](const ServiceName &service, int priority) {
+        return hasMoreUrgentStreams(data.forwardings, service, priority, data.context.clock.now());
+    };
     data.hooks.checkForCrash = [&data](const TargetId &target, std::function<void(TargetCondition)> done) {
         data.crashGuard->checkForCrash(target, std::move(done));
     };
@@ -601,6 +612,8 @@
     state["maxCallerConnections"] = d->admission->maxConnections();
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
     state["timerLagMs"] = d->admission->overload().averageLagMs;
+    state["recovery"] = recoveryDump(context, d->forwardings, now);
+    describeDataCenterChoices(context, state);
     state["soundParts"] = context.crashingRequests.soundParts.size();
     for (const auto &[id, target] : context.fleet.targets) {
         state["targets"][id.value] = {{"service", target.registered.service.value},
