Explanations follow the choice of the data centre by forecast

chooseStart() takes the random generator and the selection as parameters and reads the state of the choices without creating it. The answer shows the reason, the forecasts that were compared, and the share that leaves.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -104,11 +104,32 @@
     }
 }
 
+/// A forecast of the first event; null if there is no chain.
+static std::string forecastText(const json &forecast)
+{
+    return forecast.is_number() ? numberText(forecast.get<double>()) + " ms" : "no chain";
+}
+
+static void printChoice(const json &choice)
+{
+    std::cout << "choice of the data centre: " << choice.value("reason", "") << "; first event local " << forecastText(choice.at("localFirstEventMs"));
+    for (const json &other : choice.at("others")) {
+        std::cout << ", " << other.value("dataCenter", "") << ' ' << forecastText(other.at("firstEventMs"));
+    }
+    if (choice.at("timeLeftMs").is_number()) {
+        std::cout << "; wanted within " << numberText(choice.value("timeLeftMs", 0.0)) << " ms";
+    }
+    std::cout << "; share that leaves " << numberText(100 * choice.value("share", 0.0)) << " %\n";
+}
+
 static void printStream(const json &body)
 {
     const json &demand = body.at("demand");
     std::cout << "size: prompt " << numberText(demand.value("promptTokens", 0.0)) << " tokens, answer " << numberText(demand.value("answerTokens", 0.0))
               << " tokens\n";
+    if (const auto choice = body.find("choice"); choice != body.end() && choice->is_object()) {
+        printChoice(*choice);
+    }
     printChains(body);
     printExcluded(body.at("excluded"));
     std::cout << "free capacity:\n";
--- a/src/policy/chain_explanation.cpp
+++ b/src/policy/chain_explanation.cpp
@@ -120,13 +120,33 @@
     return explained;
 }
 
+/// The rating of the chains within data centres where `selectStart` decides. Data centres that it did not consider are rated by cost.
+static ChainRating rateStart(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, std::mt19937_64 &random,
+                             const SelectStartFunction &selectStart)
+{
+    ChainTuning tuning;
+    tuning.allowsCrossDataCenter = false;
+    tuning.remoteStartMs = 0; // as in the selection by forecast, so that costs can be compared
+    std::mt19937_64 copy = random;
+    ChainRating rating = rateChains(fleet, context, demand, copy, tuning);
+    StartSelection start = selectStart(context, random);
+    rating.selected = std::move(start.selected);
+    for (RatedChain &chain : start.chains) {
+        std::erase_if(rating.chains, [&](const RatedChain &byCost) {
+            return byCost.dataCenter == chain.dataCenter;
+        });
+        rating.chains.push_back(std::move(chain));
+    }
+    return rating;
+}
+
 /// The rating of the chains within data centres, or of all chains if there is none and they are allowed.
 static ChainRating rateAllowedChains(const Fleet &fleet, const ChainSelectionContext &context, const StreamDemand &demand, const ChainLimits &limits,
-                                     std::mt19937_64 &random, bool &allowsCrossDataCenter)
+                                     std::mt19937_64 &random, const SelectStartFunction &selectStart, bool &allowsCrossDataCenter)
 {
     ChainTuning tuning;
     tuning.allowsCrossDataCenter = false;
-    ChainRating rating = rateChains(fleet, context, demand, random, tuning);
+    ChainRating rating = selectStart ? rateStart(fleet, context, demand, random, selectStart) : rateChains(fleet, context, demand, random, tuning);
     allowsCrossDataCenter = rating.selected.empty() && limits.hasCrossDataCenterBudget;
     if (allowsCrossDataCenter) {
         tuning.allowsCrossDataCenter = true;
@@ -142,13 +162,14 @@
     return admitRequest(demand, limits.entries, now);
 }
 
-ChainExplanation explainChains(const Fleet &fleet, ChainSelectionContext context, const StreamDemand &demand, const ChainLimits &limits, std::mt19937_64 random)
+ChainExplanation explainChains(const Fleet &fleet, ChainSelectionContext context, const StreamDemand &demand, const ChainLimits &limits, std::mt19937_64 random,
+                               const SelectStartFunction &selectStart)
 {
     ChainExplanation explanation;
-    ChainRating rating = rateAllowedChains(fleet, context, demand, limits, random, explanation.allowsCrossDataCenter);
+    ChainRating rating = rateAllowedChains(fleet, context, demand, limits, random, selectStart, explanation.allowsCrossDataCenter);
     while (!rating.selected.empty() && !wouldAdmit(fleet, rating.selected.front().id, limits, context.now)) {
         context.excludedAsFirst.insert(rating.selected.front().id);
-        rating = rateAllowedChains(fleet, context, demand, limits, random, explanation.allowsCrossDataCenter);
+        rating = rateAllowedChains(fleet, context, demand, limits, random, selectStart, explanation.allowsCrossDataCenter);
     }
     for (const RatedChain &chain : rating.chains) {
         if (chain.stages == rating.selected) {
--- a/src/policy/chain_explanation.h
+++ b/src/policy/chain_explanation.h
@@ -9,6 +9,7 @@
 
 #include "policy/chain_selection.h"
 
+#include <functional>
 #include <optional>
 
 namespace Parsleytrail
@@ -61,10 +62,17 @@
     bool allowsCrossDataCenter = false;       ///< chains across data centres were considered
 };
 
+/// A selection within one data centre that another policy than the cost makes.
+struct StartSelection {
+    std::vector<ChainStage> selected; ///< empty: there is none
+    std::vector<RatedChain> chains;   ///< chains that were considered, with the costs of their stages
+};
+using SelectStartFunction = std::function<StartSelection(const ChainSelectionContext &, std::mt19937_64 &)>;
+
 /// Explains the selection for a new request: its search passes over first engines whose limit of requests a second is used up, and spans
-/// data centres only if there is no other chain and a budget for it.
-ChainExplanation explainChains(const Fleet &fleet, ChainSelectionContext context, const StreamDemand &demand, const ChainLimits &limits,
-                               std::mt19937_64 random);
+/// data centres only if there is no other chain and a budget for it. `selectStart`, if set, replaces the selection by cost within data centres.
+ChainExplanation explainChains(const Fleet &fleet, ChainSelectionContext context, const StreamDemand &demand, const ChainLimits &limits, std::mt19937_64 random,
+                               const SelectStartFunction &selectStart = {});
 
 /// Name of the obstacle in answers, for example "no-free-slot"; empty for EngineObstacle::None.
 std::string_view toString(EngineObstacle obstacle);
--- a/src/relay/chain_search.cpp
+++ b/src/relay/chain_search.cpp
@@ -10,7 +10,7 @@
 static StartChoice findChainInDataCenter(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
 {
     if (choosesDataCenter(context, service)) {
-        return chooseStart(context, service, selection, demand);
+        return chooseStart(context, context.random, service, selection, demand);
     }
     ChainTuning tuning;
     tuning.allowsCrossDataCenter = false;
--- a/src/relay/data_center_search.cpp
+++ b/src/relay/data_center_search.cpp
@@ -36,14 +36,22 @@
     std::vector<ChainStage> chain;
 };
 
-static RatedOption rateDataCenter(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand,
-                                  const std::string &dataCenter)
+/// State of the choice for a service; that of a new one if no stream of it has started yet.
+static const DataCenterChoice &choiceStateOf(const RelayContext &context, const ServiceName &service)
+{
+    static const DataCenterChoice fresh;
+    const auto it = context.dataCenterChoices.find(service);
+    return it != context.dataCenterChoices.end() ? it->second : fresh;
+}
+
+static RatedOption rateDataCenter(const RelayContext &context, std::mt19937_64 &random, const ServiceSpec &service, const ChainSelectionContext &selection,
+                                  const StreamDemand &demand, const std::string &dataCenter, const SelectChainFunction &select)
 {
     ChainTuning tuning;
     tuning.allowsCrossDataCenter = false;
     tuning.remoteStartMs = 0; // the delay of the link is part of the forecast
     tuning.onlyDataCenter = dataCenter;
-    RatedChain rated = selectRatedChain(context.fleet, selection, demand, context.random, tuning);
+    RatedChain rated = select(context.fleet, selection, demand, random, tuning);
     RatedOption result;
     result.option.dataCenter = dataCenter;
     result.option.hasChain = !rated.stages.empty();
@@ -52,12 +60,12 @@
     const double unloadedMs = unloadedFirstEventMs(context.fleet, model, rated.stages, demand.promptTokens);
     const double backlogMs = chainBacklogMs(context.fleet, rated.stages, selection.now);
     const double linkMs = dataCenterDelayMs(model, selection.dataCenter, dataCenter);
-    result.option.firstEventMs = firstEventForecastMs(context.dataCenterChoices[service.name], dataCenter, unloadedMs, backlogMs, linkMs, selection.now);
+    result.option.firstEventMs = firstEventForecastMs(choiceStateOf(context, service.name), dataCenter, unloadedMs, backlogMs, linkMs, selection.now);
     result.chain = std::move(rated.stages);
     return result;
 }
 
-static ChoiceInputs inputsOf(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection)
+static ChoiceInputs inputsOf(const RelayContext &context, std::mt19937_64 &random, const ServiceSpec &service, const ChainSelectionContext &selection)
 {
     const TimePoint now = selection.now;
     const bool isAlone = hearsNoPeers(context);
@@ -66,27 +74,28 @@
     inputs.msLeft = std::chrono::duration<double, std::milli>(selection.nextEventDue - now).count();
     inputs.reportAge = isAlone ? std::chrono::duration_cast<milliseconds>(now - context.peersHeardAt) : milliseconds(0);
     inputs.demandShare = demandShare(context.fleet, service.name, isAlone, knownEntriesToShareWith(context.entryCount, now));
-    inputs.draw = drawShare(context.random);
+    inputs.draw = drawShare(random);
     return inputs;
 }
 
-StartChoice chooseStart(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand)
+StartChoice chooseStart(const RelayContext &context, std::mt19937_64 &random, const ServiceSpec &service, const ChainSelectionContext &selection,
+                        const StreamDemand &demand, const SelectChainFunction &select)
 {
-    std::vector<RatedOption> options = {rateDataCenter(context, service, selection, demand, selection.dataCenter)};
+    std::vector<RatedOption> options = {rateDataCenter(context, random, service, selection, demand, selection.dataCenter, select)};
     StartChoice start;
-    start.inputs = inputsOf(context, service, selection);
+    start.inputs = inputsOf(context, random, service, selection);
     start.inputs->local = options.front().option;
     if (mayLeave(*start.inputs)) {
         for (const DataCenterFreeCapacity &capacity : freeCapacityLeft(context.fleet, selection, demand).dataCenters) {
             if (capacity.dataCenter == selection.dataCenter) {
                 continue;
             }
-            options.push_back(rateDataCenter(context, service, selection, demand, capacity.dataCenter));
+            options.push_back(rateDataCenter(context, random, service, selection, demand, capacity.dataCenter, select));
             options.back().option.fittingStreams = fittingStreams(capacity);
             start.inputs->others.push_back(options.back().option);
         }
     }
-    start.choice = chooseDataCenter(context.dataCenterChoices[service.name], *start.inputs, selection.now);
+    start.choice = chooseDataCenter(choiceStateOf(context, service.name), *start.inputs, selection.now);
     for (RatedOption &option : options) {
         if (option.option.dataCenter == start.choice.dataCenter) {
             start.chain = std::move(option.chain);
--- a/src/relay/data_center_search.h
+++ b/src/relay/data_center_search.h
@@ -10,7 +10,9 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace Parsleytrail
@@ -26,8 +28,13 @@
 /// Whether streams of the service are started by forecast: its model has the constants of one, and its engines are in more than one
 /// data centre.
 bool choosesDataCenter(const RelayContext &context, const ServiceSpec &service);
-/// Chooses the data centre of a stream and selects a chain within it. Draws random numbers, changes nothing else.
-StartChoice chooseStart(RelayContext &context, const ServiceSpec &service, const ChainSelectionContext &selection, const StreamDemand &demand);
+/// Selects a chain in one data centre: selectRatedChain(), or a function that draws the same random numbers and returns the same chain.
+using SelectChainFunction =
+    std::function<RatedChain(const Fleet &, const ChainSelectionContext &, const StreamDemand &, std::mt19937_64 &, const ChainTuning &)>;
+/// Chooses the data centre of a stream and selects a chain within it. Draws random numbers, changes nothing else. `random` is
+/// RelayContext::random, or a copy of it for an explanation.
+StartChoice chooseStart(const RelayContext &context, std::mt19937_64 &random, const ServiceSpec &service, const ChainSelectionContext &selection,
+                        const StreamDemand &demand, const SelectChainFunction &select = selectRatedChain);
 /// Counts and logs the choice for a stream that starts.
 void recordStart(RelayContext &context, const ServiceSpec &service, const StartChoice &start);
 /// Records the first event of a stream, which came `waitMs` after the request was sent, without the backlog forecast at that time.
--- a/src/relay/explain.cpp
+++ b/src/relay/explain.cpp
@@ -5,6 +5,7 @@
 #include "http/server.h"
 #include "policy/chain_explanation.h"
 #include "policy/cross_data_center_budget.h"
+#include "relay/data_center_search.h"
 
 #include <nlohmann/json.hpp>
 
@@ -156,9 +157,51 @@
     return {{"isLimited", budget.perSecond > 0}, {"hasBudget", hasBudget}, {"bytes", budget.tokens}, {"bytesPerSecond", budget.perSecond}};
 }
 
+static Json toJson(const DataCenterOption &option)
+{
+    return {
+        {"dataCenter", option.dataCenter}, {"firstEventMs", option.hasChain ? Json(option.firstEventMs) : Json()}, {"streamsThatFit", option.fittingStreams}};
+}
+
+/// The choice of the data centre. Other data centres are listed only if the stream may have to leave.
+static Json toJson(const StartChoice &start)
+{
+    const ChoiceInputs &inputs = *start.inputs;
+    return {{"reason", choiceReasonName(start.choice.reason)},
+            {"dataCenter", start.choice.dataCenter},
+            {"localFirstEventMs", inputs.local.hasChain ? Json(inputs.local.firstEventMs) : Json()},
+            {"others", listOf(inputs.others)},
+            {"timeLeftMs", inputs.hasTarget ? Json(inputs.msLeft) : Json()},
+            {"share", start.choice.share},
+            {"allowance", start.choice.allowance},
+            {"demandShare", inputs.demandShare}};
+}
+
+/// Selects by chooseStart() and records its last choice in `start`.
+static SelectStartFunction selectByForecast(const RelayContext &context, const ServiceSpec &service, const StreamDemand &demand, StartChoice &start)
+{
+    return [&context, &service, demand, &start](const ChainSelectionContext &selection, std::mt19937_64 &random) {
+        StartSelection result;
+        const auto select = [&result](const Fleet &fleet, const ChainSelectionContext &by, const StreamDemand &size, std::mt19937_64 &drawn,
+                                      const ChainTuning &tuning) {
+            const ChainRating rating = rateChains(fleet, by, size, drawn, tuning);
+            for (const RatedChain &chain : rating.chains) {
+                if (chain.stages == rating.selected) {
+                    result.chains.push_back(chain);
+                    return chain;
+                }
+            }
+            return RatedChain();
+        };
+        start = chooseStart(context, random, service, selection, demand, select);
+        result.selected = start.chain;
+        return result;
+    };
+}
+
 /// Adds the decision about a stream. `random` is in the state that the next request's selection finds.
-static void explainStream(const RelayContext &context, const ServiceSpec &service, const ExplainParameters &parameters, const std::mt19937_64 &random,
-                          Json &answer)
+static void explainStream(const RelayContext &context, const Route &route, const ServiceSpec &service, const ExplainParameters &parameters,
+                          const std::mt19937_64 &random, Json &answer)
 {
     const EngineModel &model = *service.engine;
     ChainSelectionContext selection;
@@ -166,12 +209,18 @@
     selection.service = service.name;
     selection.dataCenter = context.settings.dataCenter;
     selection.now = context.clock.now();
+    if (route.targetLatency > milliseconds(0)) {
+        selection.nextEventDue = selection.now + route.targetLatency;
+    }
     const StreamDemand demand{parameters.promptTokens.value_or(model.meanPromptTokens), parameters.answerTokens.value_or(model.meanAnswerTokens)};
     ChainLimits limits;
     limits.entries = knownEntriesToShareWith(context.entryCount, selection.now);
     answer["limits"]["crossDataCenter"] = crossDataCenterLimit(context, service, selection.now, limits.hasCrossDataCenterBudget);
-    const ChainExplanation explanation = explainChains(context.fleet, selection, demand, limits, random);
+    StartChoice start;
+    const SelectStartFunction selectStart = choosesDataCenter(context, service) ? selectByForecast(context, service, demand, start) : SelectStartFunction();
+    const ChainExplanation explanation = explainChains(context.fleet, selection, demand, limits, random, selectStart);
     answer["demand"] = {{"promptTokens", demand.promptTokens}, {"answerTokens", demand.answerTokens}, {"plannedKvTokens", plannedKvTokens(demand)}};
+    answer["choice"] = start.inputs ? toJson(start) : Json();
     answer["chains"] = listOf(explanation.chains);
     answer["spansDataCenters"] = explanation.allowsCrossDataCenter;
     answer["selected"] = explanation.selected ? answer["chains"][*explanation.selected] : Json();
@@ -343,7 +392,7 @@
     answer["hasPriorities"] = service->hasPriorities;
     answer["limits"] = limitsOf(context, condition, service->name);
     if (route.kind == CallKind::Stream && service->engine) {
-        explainStream(context, *service, parameters, random, answer);
+        explainStream(context, route, *service, parameters, random, answer);
     } else {
         explainCall(context, *service, answer);
     }
--- a/tests/relay_explain_test.cpp
+++ b/tests/relay_explain_test.cpp
@@ -1,5 +1,6 @@
 // GET /explain on the metrics port: what it answers, bad parameters, and that it changes nothing.
 #include "http/client.h"
+#include "policy/prefill_forecast.h"
 #include "relay/chain_search.h"
 #include "relay/explain.h"
 #include "tests/engine_models.h"
@@ -14,6 +15,7 @@
 #include <atomic>
 #include <cstdio>
 #include <filesystem>
+#include <set>
 #include <thread>
 
 using namespace Parsleytrail;
@@ -241,6 +243,62 @@
     BOOST_TEST(context.metrics.limitedSends == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_explanation_follows_the_choice_of_the_data_centre)
+{
+    // Guards against an explanation that names a chain by cost where the forecast decides, and against one that changes the choice's state.
+    ExplainedContext explained;
+    RelayContext &context = explained.context;
+    explained.configure();
+    auto routes = std::make_shared<RouteTable>(*context.routes);
+    ServiceSpec &service = routes->services.at({"chat"});
+    service.engine->prefillChunkTokens = 512;
+    service.engine->delays = {{"home", "away", 5}};
+    routes->routes.front().targetLatency = milliseconds(2000);
+    indexRoutes(*routes);
+    context.routes = routes;
+    for (const std::string dataCenter : {"home", "away"}) {
+        for (int i = 0; i < 3; ++i) {
+            explained.addEngine(dataCenter + "-first-" + std::to_string(i), dataCenter, {0, 40});
+            explained.addEngine(dataCenter + "-second-" + std::to_string(i), dataCenter, {40, 80});
+        }
+    }
+    std::set<std::string> reasons;
+    for (int seed = 0; seed < 40; ++seed) {
+        context.random.seed(seed);
+        if (seed == 20) { // from here on, local chains are late
+            for (auto &[id, target] : context.fleet.targets) {
+                if (target.registered.dataCenter == "home") {
+                    addPrefill(target, 60000, context.clock.now());
+                }
+            }
+        }
+        recordReachableEntries(context, 1); // otherwise the reports count as old, and streams stay
+        const std::size_t states = context.dataCenterChoices.size();
+        const Json answer = explained.explain("host=host.example&path=/chat/x&prompt=100&answer=50");
+        BOOST_TEST((context.random == std::mt19937_64(seed)));
+        BOOST_TEST(context.dataCenterChoices.size() == states);
+        BOOST_REQUIRE(answer["choice"].is_object());
+        reasons.insert(answer["choice"]["reason"]);
+        BOOST_TEST(answer["choice"]["dataCenter"] == answer["selected"]["dataCenter"]);
+        BOOST_TEST(answer["choice"]["others"].empty() == (seed < 20));
+
+        drawShare(context.random); // the request's service
+        ChainSelectionContext selection;
+        selection.model = &*service.engine;
+        selection.service = service.name;
+        selection.dataCenter = "home";
+        selection.now = context.clock.now();
+        selection.nextEventDue = selection.now + milliseconds(2000);
+        std::vector<std::string> engines;
+        for (const ChainStage &stage : findAdmittedChain(context, service, selection, {100, 50})) {
+            engines.push_back(stage.id.value);
+        }
+        BOOST_TEST(enginesOf(answer["selected"]) == engines, boost::test_tools::per_element());
+    }
+    const std::set<std::string> expected = {"elsewhere-in-time", "local-in-time", "not-in-share"};
+    BOOST_TEST(reasons == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(bad_parameters_are_named)
 {
     ExplainedContext explained;
