--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -29,7 +29,7 @@
     return limits;
 }
 
-static RetryBudget &retryBudgetOf(RelayContext &context, const ServiceName &service)
+RetryBudget copyOfRetryBudget(const RelayContext &context, const ServiceName &service)
 {
     const auto it = context.retryBudgets.find(service);
     if (it != context.retryBudgets.end()) {
@@ -39,7 +39,13 @@
     if (context.hasRetryShare) {
         grantRetryBurst(budget);
     }
-    return context.retryBudgets.emplace(service, budget).first->second;
+    return budget;
+}
+
+static RetryBudget &retryBudgetOf(RelayContext &context, const ServiceName &service)
+{
+    const auto it = context.retryBudgets.find(service);
+    return it != context.retryBudgets.end() ? it->second : context.retryBudgets.emplace(service, copyOfRetryBudget(context, service)).first->second;
 }
 
 void recordReachableEntries(RelayContext &context, int reachable)
@@ -115,16 +121,24 @@
     return mayHavePeers && context.clock.now() - context.peersHeardAt >= maxReportAge;
 }
 
-TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service)
+TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service)
 {
     const double share = demandShare(context.fleet, service.name, hearsNoPeers(context), entriesToShareWith(context.entryCount, context.clock.now()));
-    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, share * context.observedLinks[service.name].rateFactor);
-    TokenBucket &budget = context.crossDataCenterBudgets[service.name];
+    const auto link = context.observedLinks.find(service.name);
+    const double rateFactor = link != context.observedLinks.end() ? link->second.rateFactor : ObservedLink().rateFactor;
+    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, share * rateFactor);
+    const auto it = context.crossDataCenterBudgets.find(service.name);
+    TokenBucket budget = it != context.crossDataCenterBudgets.end() ? it->second : TokenBucket();
     budget.perSecond = configured.perSecond;
     budget.burst = configured.burst;
     return budget;
 }
 
+TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service)
+{
+    return context.crossDataCenterBudgets[service.name] = copyOfCrossDataCenterBudget(context, service);
+}
+
 void recordLeavingStatement(RelayContext &context, const TargetId &id, std::string_view text)
 {
     Target *target = findTarget(context.fleet, id);
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -614,12 +614,6 @@
             Event::RetryLeft,
             {{"id", m_request.attemptId}, {"route", m_request.route->name}, {"priority", std::to_string(m_request.priority)}, {"reason", std::string(reason)}});
     }
-    if (isReserved && m_request.exchange->isBegun()) {
-        // The more urgent streams often end, or requests earn further retries, before the caller disconnects.
-        m_isWaitingForChain = true;
-        m_chain.clear();
-        return;
-    }
     if (isAllowed && hasTime && !mayHaveRun && m_request.exchange->isBegun()) {
         // This attempt has not run, and the caller has received a part of its response: wait, as a chain and a retry often become
         // available before it disconnects.
