--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -18,7 +18,7 @@
     Address relay;         ///< --relay: metrics port of the relay
     std::string host;      ///< --host: value of the request's Host field
     std::string path;      ///< --path: path of the request
-    std::string workspace; ///< --workspace: its own priority replaces the route's
+    std::string workspace; ///< --workspace: its own priority goes before the route's
     std::string prompt;    ///< --prompt: length of the prompt, tokens
     std::string answer;    ///< --answer: expected length of the answer, tokens
 };
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -54,7 +54,7 @@
 void recordStart(FairShareLedger &ledger, const WaitingRequest &request, TimePoint now);
 
 constexpr std::chrono::seconds startedCostHalfLife{5}; ///< after this time a started cost counts half
-/// What is left at `now` of a started cost as of `since`.
+/// A started cost as of `since`, reduced by the decay until `now`.
 double decayedCost(double cost, TimePoint since, TimePoint now);
 
 /// Started cost of a workspace, as of the last decay of the ledger. Comparable with that of other workspaces at any time.
--- a/src/policy/chain_explanation.h
+++ b/src/policy/chain_explanation.h
@@ -15,7 +15,7 @@
 namespace Parsleytrail
 {
 
-/// Limits that this entry shares with others, as far as they decide about a chain.
+/// Limits that this entry shares with others, as far as the selection of a chain depends on them.
 struct ChainLimits {
     bool hasCrossDataCenterBudget = false; ///< chains may span data centres if no data centre has a complete one
     int entries = 1;                       ///< entries that share the limits of requests a second that engines name
@@ -62,14 +62,14 @@
     bool allowsCrossDataCenter = false;       ///< chains across data centres were considered
 };
 
-/// A selection within one data centre that another policy than the cost makes.
+/// A selection within one data centre by another policy than the cost.
 struct StartSelection {
     std::vector<ChainStage> selected; ///< empty: there is none
     std::vector<RatedChain> chains;   ///< chains that were considered, with the costs of their stages
 };
 using SelectStartFunction = std::function<StartSelection(const ChainSelectionContext &, std::mt19937_64 &)>;
 
-/// Explains the selection for a new request: its search passes over first engines whose limit of requests a second is used up, and spans
+/// Explains the selection for a new request: its search skips first engines whose limit of requests a second is used up, and spans
 /// data centres only if there is no other chain and a budget for it. `selectStart`, if set, replaces the selection by cost within data centres.
 ChainExplanation explainChains(const Fleet &fleet, ChainSelectionContext context, const StreamDemand &demand, const ChainLimits &limits, std::mt19937_64 random,
                                const SelectStartFunction &selectStart = {});
--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -366,7 +366,7 @@
     return findBestChain(search);
 }
 
-/// What the selection makes of an engine of the service; `candidate` is null if it is left out of chains.
+/// Whether the selection can use an engine of the service; `candidate` is null if it is left out of chains.
 static RatedEngine rateEngine(const Target &target, const Candidate *candidate, const ChainSearch &search)
 {
     const ChainSelectionContext &context = search.context;
--- a/src/policy/chain_selection.h
+++ b/src/policy/chain_selection.h
@@ -116,7 +116,7 @@
                                     const ChainTuning &tuning = {});
 
 /// Adds the time to process `tokens` to the forecast (policy/prefill_forecast.h) of each engine of `chain`. In a move, `chain` holds only
-/// the stages that have to process the tokens. `multiplier` is the number of entries' work that this entry's stands for:
+/// the stages that have to process the tokens. `multiplier` accounts for the same work of other entries:
 /// recoveryMultiplier() after the loss of an engine, otherwise 1. Does nothing if the model has no forecast.
 void addChainPrefill(Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens, double multiplier, TimePoint now);
 /// The largest backlog of prompts of the chain's engines, ms.
@@ -165,7 +165,7 @@
     double kvFill = 0;                              ///< KV cache in use: 1 is all that may be planned for; 0 if it is left out
 };
 
-/// All that a selection depends on.
+/// The result of a selection, and what it was based on.
 struct ChainRating {
     std::vector<ChainStage> selected; ///< what selectChain() returns
     std::vector<RatedChain> chains;   ///< best chain of each data centre that a chain ends in
--- a/src/policy/cross_data_center_budget.h
+++ b/src/policy/cross_data_center_budget.h
@@ -49,7 +49,7 @@
     int gaps = 0;            ///< number of these gaps
     double lastGapRatio = 0; ///< average of the second before the last adaptation; 0: no gaps
 };
-/// Records the gap between two events of a stream on a chain across data centres. A route without a target counts for nothing.
+/// Records the gap between two events of a stream on a chain across data centres. Ignored if the route has no target.
 void recordCrossDataCenterGap(ObservedLink &link, double gapMs, milliseconds targetGap);
 /// Adapts the rate to the gaps since the last call. Called once a second. Returns whether the rate has changed.
 bool adaptLinkRate(ObservedLink &link);
--- a/src/policy/data_center_choice.h
+++ b/src/policy/data_center_choice.h
@@ -1,6 +1,6 @@
 // Decides whether a stream starts in another data centre than its entry's, and how many streams do.
 //
-// A stream leaves only if no local chain is expected to bring its first event in time, and a chain elsewhere is. All entries of an
+// A stream leaves only if no local chain is expected to yield its first event in time, and a chain elsewhere is. All entries of an
 // overloaded data centre decide this at about the same time, from loads that are some hundred milliseconds old. Two limits keep them
 // from overloading the other place together: a share of the streams that leave, which is adapted once a second, and an allowance
 // for each data centre and second, which is the entry's share of the streams that still fit there.
@@ -25,7 +25,7 @@
 namespace Parsleytrail
 {
 
-/// Least share of the streams without a local chain in time that leave, and the share at the start. It does not fall to zero, so that
+/// Least share of the streams without a local chain in time that leave; also the initial share. It does not fall to zero, so that
 /// the first streams of an overload need not wait for the next adaptation; streams with a local chain in time stay in any case.
 constexpr double minLeavingShare = 0.25;
 /// Factor on the share after a second in which local chains mostly missed their targets.
@@ -37,7 +37,7 @@
 /// Reports that are older say nothing about how many streams still fit; exchangeTimeout of policy/load_exchange.h.
 constexpr milliseconds maxReportAge{1500};
 /// An observed delay of first events counts for this long. Callers disconnect after two seconds without an event, so that a queue
-/// that was observed before that is gone.
+/// that was observed earlier is gone.
 constexpr milliseconds firstEventLifetime{2000};
 
 /// Delays of first events that were observed in a data centre, without the forecast backlog and the delay of the link.
@@ -118,7 +118,7 @@
     double allowance = 0; ///< streams that might leave for the chosen data centre in this window
 };
 
-/// Time in which engines without other work bring the first event of a stream: they process its prompt, then execute a pass.
+/// Time in ms in which engines without other work yield the first event of a stream: they process its prompt, then execute a pass.
 double unloadedFirstEventMs(const Fleet &fleet, const EngineModel &model, const std::vector<ChainStage> &chain, double tokens);
 /// Time until the first event on a chain, ms: what is usual in the data centre, which is `unloadedMs` if nothing was observed lately,
 /// the largest backlog of the chain's engines, and the link in both directions.
--- a/src/policy/exchange_messages.cpp
+++ b/src/policy/exchange_messages.cpp
@@ -59,7 +59,7 @@
     return table;
 }
 
-/// What this entry and its members started, without one of them.
+/// Tokens that this entry and its members started for workspaces, without those of `leftOut`.
 static UsageTable groupUsage(const LoadExchange &exchange, const EntryId &leftOut, TimePoint now)
 {
     UsageTable table;
@@ -83,7 +83,7 @@
     return table;
 }
 
-/// Whether the message with this number lists usage, of messages to one receiver that are `interval` apart.
+/// Whether the message with this number lists usage, if messages to one receiver are `interval` apart.
 static bool listsUsage(std::uint64_t number, milliseconds interval)
 {
     return number % std::max<std::uint64_t>(1, usageInterval / interval) == 0;
--- a/src/policy/load_exchange.cpp
+++ b/src/policy/load_exchange.cpp
@@ -169,7 +169,7 @@
     return expired;
 }
 
-/// Takes over the list of workspaces of a message that was received last.
+/// Stores the list of workspaces of the last message, and counts impossible values.
 template<typename Message>
 static void takeUsage(LoadExchange &exchange, Received<Message> &from, TimePoint now)
 {
--- a/src/policy/prefill_forecast.h
+++ b/src/policy/prefill_forecast.h
@@ -27,8 +27,8 @@
 /// Adds `ms` to the engine's backlog.
 void addPrefill(Target &target, double ms, TimePoint now);
 
-/// How many entries' work an entry has to add for its own, if all send streams of the same lost engine at once: all open requests
-/// there, relative to this entry's. Their reports arrive too late for the moment of the loss.
+/// Factor on this entry's own work when all entries send the streams of a lost engine elsewhere at once: all open requests there,
+/// relative to this entry's. The reports of the others arrive too late to be used for that.
 double recoveryMultiplier(const Target &lost);
 
 } // namespace Parsleytrail
--- a/src/policy/recovery_order.h
+++ b/src/policy/recovery_order.h
@@ -33,7 +33,7 @@
 struct LostStream {
     bool hasPriorities = false;  ///< streams of its service differ in priority; otherwise it keeps its place in order of arrival
     int priority = 5;            ///< 0 is the most urgent
-    double msLeft = unlimitedMs; ///< until its pause exceeds the target gap; negative: it does already
+    double msLeft = unlimitedMs; ///< until its pause exceeds the target gap; negative: it already does
 };
 
 /// Indices of the streams in the order in which they are recovered: by priority, then the least time left first. Streams of services
@@ -45,9 +45,9 @@
     double backlogMs = 0; ///< until it has processed what it was sent before
     double prefillMs = 0; ///< processing the stream's tokens
 };
-/// Time in ms until the engines of a chain have processed the tokens of a moved stream, each after the previous one. The `multiplier`
-/// entries that move streams of the same engine at the same moment are served in any order, so that half of their streams are expected
-/// to be processed before this one.
+/// Time in ms until the engines of a chain have processed the tokens of a moved stream, each after the previous one. Other
+/// entries move streams of the same engine at the same moment: `multiplier` streams for each one of this entry, in any order. Half of the
+/// others are expected to be processed before this one.
 double moveDelayMs(const std::vector<StagePrefill> &stages, double multiplier);
 
 enum class RecoveryAction {
@@ -67,8 +67,8 @@
 
 /// Longest pause of a stream that gives way. Callers disconnect after 2 s without an event, and the move itself needs time.
 constexpr milliseconds maxGiveWayPause{1000};
-/// An engine with less than this backlog has processed the streams that were to be on time. It is the interval at which streams that
-/// give way are checked, so that the engine does not become idle between two checks.
+/// An engine with less than this backlog counts as having processed the streams that can be on time. It equals the interval at which
+/// streams that give way are checked, so that the engine does not become idle between two checks.
 constexpr milliseconds givenWayBacklog{25};
 /// Latest time until which a stream gives way: `targetGap` from now, and not beyond maxGiveWayPause since its last event. Not before `now`.
 TimePoint giveWayUntil(TimePoint now, TimePoint lastEventAt, milliseconds targetGap);
@@ -76,7 +76,7 @@
 bool isGiveWayOver(TimePoint until, double backlogMs, TimePoint now);
 
 /// Whether a stream may consume a retry. While more urgent streams are open, less urgent ones leave half of the burst, rounded down, to
-/// them: a share of the burst may be as small as one retry, which could otherwise never be used by them.
+/// more urgent ones. Rounded down, because the share of the burst may be as small as one retry, which less urgent streams could never use.
 bool mayConsumeRetry(const RetryBudget &budget, bool hasMoreUrgentStreams);
 
 /// Recovery multipliers of engines that were lost recently.
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -131,8 +131,8 @@
 
 /// Fills in routeIndex, priorityRanks and ServiceSpec::hasPriorities. Of two routes with the same host and prefix the first one is used.
 void indexRoutes(RouteTable &table);
-/// Rank of a request, 0 (the most urgent) to lowestPriority: its workspace's priority decides, among equal ones the route's. Beyond ten
-/// different ones the least urgent share a rank.
+/// Rank of a request, 0 (the most urgent) to lowestPriority: its workspace's priority decides, among equal ones the route's. If there are
+/// more than ten combinations, the least urgent share the last rank.
 int requestPriority(const RouteTable &table, const Route &route, std::optional<int> ofWorkspace);
 /// The route on that host with the longest prefix that matches `path`; null if there is none. `path` excludes the query.
 const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path);
--- a/src/policy/stream_queue.h
+++ b/src/policy/stream_queue.h
@@ -2,7 +2,7 @@
 //
 // Streams of a service end at an observed rate, and each end makes room for another. So a stream with k others ahead of it gets
 // room after about (k + 1) / rate. It waits if that is soon enough for its first event to be on time; otherwise it is refused at
-// once, because a late refusal costs its caller the time in which it could have gone elsewhere.
+// once, because a late refusal costs its caller time in which it could have retried elsewhere.
 //
 //     EndRate ends;
 //     recordEnd(ends, now);                                              // a stream of the service ended
@@ -19,7 +19,7 @@
 {
 
 /// Time constant of the moving average of ends. Callers disconnect after two seconds without an event, so that no forecast has to
-/// reach further; a shorter average would rest on too few ends at a relay with few streams.
+/// reach further; a shorter average would be based on too few ends at a relay with few streams.
 constexpr milliseconds endRateWindow{2000};
 
 /// Moving average of the streams of a service that end at this relay. A stream passes all layers of its model, so that each end
--- a/src/policy/workspace_shares.h
+++ b/src/policy/workspace_shares.h
@@ -1,9 +1,9 @@
 // Shares of workspaces: how many tokens each workspace has started lately, at this relay and at all others together.
 //
-// Each relay counts the tokens of the streams that it starts, with the half-life startedCostHalfLife. While it lacks room, it tells the
-// others of its largest workspaces; aggregators of the load exchange sum these lists like the loads of targets. So a workspace that uses
-// much at all relays goes after one that uses little, whichever relay a stream arrives at. A relay that hears of no others uses its own
-// counts.
+// Each relay counts the tokens of the streams that it starts, with the half-life startedCostHalfLife. While it lacks room, it
+// reports its largest workspaces to the others; aggregators of the load exchange sum these lists like the loads of targets. So a
+// workspace that uses much at all relays goes after one that uses little, whichever relay a stream arrives at. A relay that hears of no
+// others uses its own counts.
 //
 //     recordStartedTokens(shares, workspace, promptTokens + answerTokens, now);
 //     recordShortage(shares, now);                             // a stream is queued or refused for lack of room
@@ -54,7 +54,7 @@
     std::uint64_t outdated = 0;     ///< lists that no newer one replaced in time: the sender was lost, or has room again
     std::string impossibleFromHost; ///< sender of the last impossible value
 };
-/// Takes over the list of a newer message, if it has one. Impossible values are left out; returns their number.
+/// Stores the list of a newer message, if it has one. Impossible values are left out; returns their number.
 std::uint64_t keepUsage(ReceivedUsage &kept, const std::vector<WorkspaceUsage> &list, TimePoint now);
 /// Removes a list that is older than `timeout`. Returns whether there was one.
 bool dropOutdatedUsage(ReceivedUsage &kept, milliseconds timeout, TimePoint now);
@@ -70,8 +70,8 @@
     TimePoint othersAt{};   ///< time of `others`
     TimePoint shortageAt{}; ///< when a stream was last queued or refused for lack of room; zero: never
 };
-/// Records a stream that starts here. `tokens` is the prompt and the expected answer. As callers state it, it may be any number: values
-/// that are no positive number don't count, and one stream counts at most maxUsageTokens.
+/// Records a stream that starts here. `tokens` is the prompt and the expected answer. Callers state it, so it may have any value: only
+/// positive numbers count, and one stream counts at most maxUsageTokens.
 void recordStartedTokens(WorkspaceShares &shares, const WorkspaceName &workspace, double tokens, TimePoint now);
 /// Records that a stream was queued or refused for lack of room.
 void recordShortage(WorkspaceShares &shares, TimePoint now);
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -129,7 +129,7 @@
 /// Token bucket for this entry's share of the link between data centres that a service uses, with the rate and burst of the newest
 /// configuration.
 TokenBucket &crossDataCenterBudget(RelayContext &context, const ServiceSpec &service);
-/// Copy of that token bucket, without creating one.
+/// Copy of the service's token bucket for chains across data centres, without creating one.
 TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service);
 
 /// Whether a request may be sent to a target, which may have named a limit of requests a second. Counts the request as wanted there.
--- a/src/relay/explain.cpp
+++ b/src/relay/explain.cpp
@@ -44,7 +44,7 @@
     return tokens;
 }
 
-/// Names a parameter that is not known, as a misspelt one would change the answer without a sign.
+/// Reports unknown parameters: a misspelt one would otherwise be ignored unnoticed.
 static void findUnknownParameters(std::string_view query, std::vector<std::string> &problems)
 {
     constexpr std::array<std::string_view, 5> known = {"host", "path", "workspace", "prompt", "answer"};
--- a/src/relay/explain.h
+++ b/src/relay/explain.h
@@ -2,8 +2,8 @@
 //
 //     /explain?host=HOST&path=PATH[&workspace=NAME][&prompt=TOKENS][&answer=TOKENS]
 //
-// host and path are those of the request. The workspace's own priority replaces the route's. prompt and answer are the expected size of
-// a stream; without them the usual size of the model is assumed.
+// host and path are those of the request. The workspace's own priority goes before the route's, see requestPriority(). prompt and
+// answer are the expected size of a stream; without them the usual size of the model is assumed.
 //
 // The answer is a JSON object: the route, service and priority; for a stream the best chain of each data centre with the terms of its cost,
 // the chain that the next such request gets, and the engines that are not usable; for a call the targets; and the limits that apply.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -220,9 +220,9 @@
     stream.service = m_request.service->name;
     stream.route = m_request.route->name;
     stream.order = makeWaitingRequest(m_context, m_request, m_demand.promptTokens + m_demand.answerTokens);
-    // The forwarding leaves the queue in endAttempt(), so that it outlives its place there.
+    // `this` is valid while the stream is queued: endAttempt() removes it from the queue.
     stream.findRoom = [this] {
-        // The first search has counted the request at engines that name a limit; counting each search would raise what they see as wanted.
+        // The first search has counted the request as wanted at engines that name a limit. Each further search would count it again.
         return findUnlimitedChain(m_context, *m_request.service, makeSelectionContext(), m_demand);
     };
     stream.run = [self = weak_from_this(), this](std::vector<ChainStage> chain) {
@@ -588,7 +588,7 @@
     });
 }
 
-/// Notes how many entries restart streams of the first engine, before this entry's reservations there are released.
+/// Stores the recovery multiplier of the first engine, before this entry's reservations there are released.
 void StreamForwarding::rememberLoss(const TargetFailure &failure)
 {
     if (failure.mayHaveRun && !m_chain.empty()) {
@@ -628,8 +628,8 @@
     end();
 }
 
-/// Orders the first engine to continue through other engines of its data centre. Engines that stay in the chain keep their KV
-/// cache, and the caller sees a short pause. Returns false if there is no such chain.
+/// Selects a chain through other engines of the data centre for the running request. Engines that stay in the chain keep their KV
+/// cache, and the caller sees a short pause. Empty if there is no such chain.
 ///
 /// Chains through other data centres are excluded: the activations of all tokens so far would be transferred, some 15 MB a
 /// stream, and the streams of one lost engine would fill the shared link for ten seconds or more. Processing the prompt again
@@ -695,7 +695,7 @@
 }
 
 /// Calls `recover` together with the recoveries of other streams in this event loop iteration, in order of urgency. Without
-/// priorities the streams are recovered as they come.
+/// priorities each stream is recovered at once.
 void StreamForwarding::queueRecovery(std::function<void()> recover)
 {
     if (!m_request.service->hasPriorities) {
@@ -747,7 +747,7 @@
     RecoveryForecast forecast;
     forecast.msLeft = recoveryState(m_context.clock.now()).urgency.msLeft;
     forecast.moveMs = eventDelayOfMove(m_context, *service.engine, move);
-    // More than half of the budget must be left, as it is needed more for streams that can't be moved.
+    // More than half of the budget must be left: streams that can't be moved need it more.
     if (forecast.moveMs > forecast.msLeft && canRestart() && hasAmpleRetryBudget(m_context, service.name)) {
         forecast.restartMs = eventDelayOfStart(m_context, findChain(m_context, service, makeSelectionContext(), m_demand));
     }
--- a/src/relay/stream_queue.cpp
+++ b/src/relay/stream_queue.cpp
@@ -77,7 +77,7 @@
     return stream;
 }
 
-/// What the workspaces of the waiting streams used lately, at all relays.
+/// Tokens that the workspaces of the waiting streams started lately, at all relays.
 FairShareLedger StreamQueue::Private::ledger(const ServiceQueue &queue) const
 {
     return fleetLedger(context.workspaces, queue.order, context.clock.now());
@@ -98,7 +98,7 @@
     return stream;
 }
 
-/// Refuses a stream that is not in the queue, or not any more.
+/// Refuses a stream that was never in the queue, or was removed from it.
 void StreamQueue::Private::refuse(const ServiceQueue &queue, const QueuedStream &stream, std::string_view outcome, const RoomForecast &forecast)
 {
     const TimePoint now = context.clock.now();
@@ -115,7 +115,7 @@
     stream.refuse(isDraining ? "stopping" : "no-room", retryAfter, forecastText(forecast));
 }
 
-/// Starts waiting streams in their order until one finds no room. Others are not tried then: smaller ones would always pass a large one.
+/// Starts waiting streams in their order until one finds no room. Later ones are not tried then, as small streams would always pass a large one.
 void StreamQueue::Private::startNext(ServiceQueue &queue, TimePoint now)
 {
     for (;;) {
--- a/src/relay/stream_queue.h
+++ b/src/relay/stream_queue.h
@@ -8,7 +8,7 @@
 //     queue.check(now);                                   // every forwardingCheckInterval
 //
 // A stream that waits has not run. It leaves the queue before it is started or refused, so that each happens at most once and never
-// both. Used for services whose stream routes differ in priority. policy/stream_queue.h decides who waits and who is next.
+// both. Used for services whose streams differ in priority. policy/stream_queue.h decides who waits and who is next.
 #pragma once
 
 #include "policy/stream_queue.h"
@@ -50,9 +50,10 @@
     bool hasWaiting(const ServiceName &service, int priority) const;
     /// The forecast for a stream as add() would use it, without side effects.
     RoomForecast forecast(const ServiceName &service, const WaitingRequest &stream) const;
-    /// Lets a stream wait, or refuses it at once if no room is forecast in time; returns 0 then.
+    /// Lets a stream wait, or refuses it at once if no room is forecast in time; returns 0 then. If more wait than can start in time, the
+    /// last one is refused, which may be this stream: its ticket then identifies no stream any more.
     Ticket add(QueuedStream stream);
-    /// Removes a stream that ended by itself, because its caller disconnected. Does nothing if it has left already.
+    /// Removes a stream whose caller disconnected. Does nothing if it has left already.
     void remove(Ticket ticket);
     /// Records that a stream of the service ended, which makes room.
     void recordEnd(const ServiceName &service);
@@ -68,7 +69,7 @@
     std::unique_ptr<Private> d;
 };
 
-/// The place in the order of a request that arrived for a stream of `tokens` tokens.
+/// The place in the order of a request for a stream of `tokens` tokens (prompt and expected answer).
 WaitingRequest makeWaitingRequest(const RelayContext &context, const ForwardedRequest &request, double tokens);
 
 } // namespace Parsleytrail
--- a/src/relay/stream_recovery.h
+++ b/src/relay/stream_recovery.h
@@ -1,8 +1,8 @@
-// Recovery of streams that lost an engine of their chain: in which order, and what a move or a restart would cost.
+// Recovery of streams that lost an engine of their chain: their order, and the forecast of a move or a restart.
 //
-// The decisions are in policy/recovery_order.h. Here they get the forecast from the fleet, and the streams that are recovered together:
-// those of an engine that does not respond (orderedStreamsOf()), and those whose connections close, or whose turn comes, in the same
-// iteration of the event loop (RecoveryQueue).
+// The decisions are in policy/recovery_order.h. This file provides the forecasts from the fleet, and the streams that are recovered
+// together: those of an engine that does not respond (orderedStreamsOf()), and those whose connections close, or that stop giving way, in
+// the same iteration of the event loop (RecoveryQueue).
 #pragma once
 
 #include "policy/chain_selection.h"
@@ -17,7 +17,7 @@
 namespace Parsleytrail
 {
 
-/// Streams that wait for the unresponsive engine, in order of urgency.
+/// Streams whose chain has the unresponsive engine, in order of urgency.
 std::vector<ForwardingPtr> orderedStreamsOf(RelayContext &context, const std::vector<ForwardingPtr> &forwardings, const TargetId &lost);
 /// Whether streams of the service that are more urgent than `priority` are open.
 bool hasMoreUrgentStreams(const std::vector<ForwardingPtr> &forwardings, const ServiceName &service, int priority, TimePoint now);
--- a/src/relay/workspace_reports.h
+++ b/src/relay/workspace_reports.h
@@ -1,4 +1,4 @@
-// Shares of workspaces in a relay: counts the streams that start here, reports them to the other relays and takes over what those
+// Shares of workspaces in a relay: counts the streams that start here, reports them to the other relays and applies what those
 // report; see policy/workspace_shares.h.
 //
 // The state is RelayContext::workspaces.
@@ -14,15 +14,15 @@
 
 /// Counts a stream that is sent to engines for the first time.
 void recordStartedStream(RelayContext &context, const WorkspaceName &workspace, const StreamDemand &demand);
-/// Records that a stream of the service was queued or refused for lack of room. Counts only where the service's routes differ in
-/// priority, as only there streams are ordered.
+/// Records that a stream of the service was queued or refused for lack of room. Ignored if the service's streams do not
+/// differ in priority, as these are not ordered.
 void recordLackOfRoom(RelayContext &context, const ServiceSpec &service);
 /// The usage to report now. Logs when reports begin and end.
 std::vector<WorkspaceUsage> usageToReport(RelayContext &context);
-/// Takes over what the other relays report. Counts and logs ignored values.
+/// Applies what the other relays report. Counts and logs ignored values.
 void applyPeerUsage(RelayContext &context, const PeersView &others);
 /// Whether this relay reports, and own and others' tokens of each workspace known by name, for the state dump. `unnamed` sums up the
-/// workspaces of which only others know.
+/// workspaces that only other relays can name.
 nlohmann::json dumpWorkspaces(const RelayContext &context, TimePoint now);
 
 } // namespace Parsleytrail
