Order by urgency only where stream routes differ in priority

Change: only routes decide whether the order applies; within it a workspace's priority still goes first. A broken connection alone no longer counts as the loss of an engine in the forecast, and a stream that gave way keeps no multiplier.

--- a/src/policy/routes.cpp
+++ b/src/policy/routes.cpp
@@ -58,7 +58,7 @@
     return priorities;
 }
 
-/// Ranks the combined priorities of the routes, and marks the services whose streams differ in them.
+/// Ranks the combined priorities of the routes, and marks the services whose stream routes differ in priority.
 static void rankPriorities(RouteTable &table)
 {
     const std::set<std::optional<int>> ofWorkspaces = workspacePriorities(table);
@@ -70,7 +70,7 @@
             all.insert(combined);
             for (const WeightedService &part : route.services) {
                 if (route.kind == CallKind::Stream) {
-                    ofServices[part.service].insert(combined);
+                    ofServices[part.service].insert(route.priority);
                 }
             }
         }
--- a/src/policy/routes.h
+++ b/src/policy/routes.h
@@ -99,7 +99,7 @@
     std::string healthPath;            ///< path of health probes (GET)
     int maxConnections = 0;            ///< connections that a target accepts from all callers together
     std::optional<EngineModel> engine; ///< set if its targets hold layer ranges of a model
-    bool hasPriorities = false;        ///< its streams differ in priority, by route or workspace, so that their order matters; see indexRoutes()
+    bool hasPriorities = false;        ///< its stream routes differ in priority, so that the order of its streams matters; see indexRoutes()
 };
 
 /// Owner of an API key.
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -96,7 +96,6 @@
     void moveTo(std::vector<ChainStage> chain, double multiplier);
     bool startMove();
     double tokensSoFar() const;
-    void rememberLoss(const TargetFailure &failure);
     void queueRecovery(std::function<void()> recover);
     bool recover(const TargetId &lost);
     RecoveryAction chooseAction(const StreamMove &move);
@@ -580,7 +579,6 @@
         avoidTarget(m_context, m_chain.front().id, failure.text);
         m_hooks.requestEngineReport(m_chain.front().id);
     }
-    rememberLoss(failure);
     // The connections of a lost engine close together: the most urgent streams get the retry budget.
     endAttempt();
     queueRecovery([this, reason = failure.text, mayHaveRun = failure.mayHaveRun] {
@@ -588,14 +586,6 @@
     });
 }
 
-/// Stores the recovery multiplier of the first engine, before this entry's reservations there are released.
-void StreamForwarding::rememberLoss(const TargetFailure &failure)
-{
-    if (failure.mayHaveRun && !m_chain.empty()) {
-        m_recoveryMultiplier = rememberedMultiplier(m_context.lostEngines, m_context.fleet, m_chain.front().id, m_context.clock.now());
-    }
-}
-
 void StreamForwarding::retryOrEnd(std::string_view reason, bool mayHaveRun)
 {
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
@@ -796,7 +786,7 @@
     if (chain.empty()) {
         return restartOnOtherChain("engine of the chain is dead");
     }
-    moveTo(std::move(chain), m_recoveryMultiplier);
+    moveTo(std::move(chain), std::exchange(m_recoveryMultiplier, 1));
 }
 
 /// Whether the retries that are left are reserved for more urgent streams.
