Setting prompt-forecast: by default the forecast is made only where stream routes differ in priority

Change: a setting limits the forecast, and with it the choice of data centres, the split of the link by demand and the recovery by forecast, to services whose stream routes differ in priority; 'always' and 'never' are the others.

--- a/src/policy/prefill_forecast.cpp
+++ b/src/policy/prefill_forecast.cpp
@@ -33,4 +33,14 @@
     return static_cast<double>(std::max(1, totalOpenRequests(lost))) / std::max(1, lost.openRequests);
 }
 
+void limitForecast(RouteTable &table, std::string_view scope)
+{
+    for (auto &[name, service] : table.services) {
+        const bool isInScope = scope == "always" || (scope == "priorities" && service.hasPriorities);
+        if (service.engine && !isInScope) {
+            service.engine->prefillChunkTokens = 0;
+        }
+    }
+}
+
 } // namespace Parsleytrail
--- a/src/policy/prefill_forecast.h
+++ b/src/policy/prefill_forecast.h
@@ -15,6 +15,8 @@
 #include "policy/fleet.h"
 #include "policy/routes.h"
 
+#include <string_view>
+
 namespace Parsleytrail
 {
 
@@ -31,4 +33,8 @@
 /// relative to this entry's. The reports of the others arrive too late to be used for that.
 double recoveryMultiplier(const Target &lost);
 
+/// Turns the forecast off for the services outside of `scope`, a value of the setting prompt-forecast. Without it chains are selected
+/// by their cost alone.
+void limitForecast(RouteTable &table, std::string_view scope);
+
 } // namespace Parsleytrail
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -121,12 +121,21 @@
     return mayHavePeers && context.clock.now() - context.peersHeardAt >= maxReportAge;
 }
 
-TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service)
+/// This entry's share of the link: by demand and by what was observed of the link, or an even one where no forecast is made.
+static double linkShare(const RelayContext &context, const ServiceSpec &service)
 {
-    const double share = demandShare(context.fleet, service.name, hearsNoPeers(context), entriesToShareWith(context.entryCount, context.clock.now()));
+    const int entries = entriesToShareWith(context.entryCount, context.clock.now());
+    if (service.engine->prefillChunkTokens <= 0) {
+        return 1.0 / std::max(entries, 1);
+    }
     const auto link = context.observedLinks.find(service.name);
     const double rateFactor = link != context.observedLinks.end() ? link->second.rateFactor : ObservedLink().rateFactor;
-    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, share * rateFactor);
+    return demandShare(context.fleet, service.name, hearsNoPeers(context), entries) * rateFactor;
+}
+
+TokenBucket copyOfCrossDataCenterBudget(const RelayContext &context, const ServiceSpec &service)
+{
+    const TokenBucket configured = makeCrossDataCenterBudget(*service.engine, linkShare(context, service));
     const auto it = context.crossDataCenterBudgets.find(service.name);
     TokenBucket budget = it != context.crossDataCenterBudgets.end() ? it->second : TokenBucket();
     budget.perSecond = configured.perSecond;
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -1,6 +1,7 @@
 #include "relay/registry.h"
 
 #include "base/log.h"
+#include "policy/prefill_forecast.h"
 #include "policy/table_source.h"
 #include "wire/compression.h"
 
@@ -346,6 +347,7 @@
         return;
     }
     indexRoutes(*table);
+    limitForecast(*table, context.settings.promptForecast);
     logEvent(Event::ConfigurationInForce, {{"version", std::to_string(table->version.value)},
                                            {"revision", std::to_string(row.version)},
                                            {"routes", std::to_string(table->routes.size())},
--- a/tests/prefill_forecast_test.cpp
+++ b/tests/prefill_forecast_test.cpp
@@ -218,6 +218,21 @@
     BOOST_TEST(requestPriority(larger, larger.routes[0], 1) == lowestPriority);
 }
 
+// Guards against decisions by forecast in deployments whose operators ask for none.
+BOOST_AUTO_TEST_CASE(the_setting_limits_the_forecast_to_some_services)
+{
+    const auto chunkOf = [](std::vector<int> ofRoutes, std::string_view scope) {
+        RouteTable table = tableWith(std::move(ofRoutes));
+        table.services.at({"chat"}).engine = chunkedModel();
+        limitForecast(table, scope);
+        return table.services.at({"chat"}).engine->prefillChunkTokens;
+    };
+    BOOST_TEST(chunkOf({0, 1}, "priorities") == 512);
+    BOOST_TEST(chunkOf({1, 1}, "priorities") == 0);
+    BOOST_TEST(chunkOf({1, 1}, "always") == 512);
+    BOOST_TEST(chunkOf({0, 1}, "never") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(the_delay_of_a_link_is_the_same_in_both_directions)
 {
     EngineModel model;
