--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -321,7 +322,6 @@
             engine.http.stop()
         self.store.http.stop()
         if os.environ.get("KEEP_LOGS"):
-            self.record.write(f"logs      kept")
             print(self.folder, file=sys.stderr)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -333,6 +333,7 @@
 def main(case_file, play, seconds=110):
     """Runs `play(bed)`, which returns whether the rule held, and exits with the status that the review asks for."""
     case = pathlib.Path(case_file).resolve().parent
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))  # a relay that aborts leaves no core file in the repository
 
     async def run():
         bed = Bed(case, os.environ.get("TROUBLE", "1") != "0")
