Reports and orders are those of the engine that was asked, not of the next owner of its address

Callers saw: an engine is lost for good and its address goes to an engine of another service while the registry still lists the lost one.

Hypotheses: (1) the report that a probe of the lost engine brings is the new owner's; (2) two registry entries with one address are mixed up by a lookup by address; (3) the row itself says so. Told apart by what the relay believes of the lost id before the plan: its row says 0-4, its dump 11-38 right after the probe (test 1), so (1). (2) is true of another path (stalled requests), (3) is not.

Cause: probes and orders went to an address and named nobody; a later `born` in the answer even made it count as the newer report. The plan then indexed its tables by layers that the model does not have.

Fix: probes, placement orders and orders to move a stream name their engine (X-Expect-Instance: any other answers 421), and a report whose start is not the registered one is not applied: the engine counts as not answering. Both are needed: the header is obeyed by engines that know it, the start is part of all that engines say of themselves. Second line: layers are cut to the model's before a plan or a chain search uses them.

The same cause elsewhere: - pending and refused orders, kept by id: had it; an order stayed pending for 12 s after its engine had started again. By start now. - probes in flight across a restart: had it, by start now. - requests that stall at an address: were blamed on its last owner; on the first registered one now. - kept connections: the removal or a failure of the lost target closed those to the next owner. Not any more. - "its address was registered before, so it is a restart": held for an address of another service too; by service and address now. - calls and streams: name their target already. Limits, rests and leaving statements are stored by id and start, and a wrong one reaches only the id that is gone. Loads and avoided engines that relays tell each other are keyed by id and start. Crash checks ask within milliseconds, an address is used again after seconds at the earliest.

--- a/src/policy/chain_selection.cpp
+++ b/src/policy/chain_selection.cpp
@@ -138,8 +138,9 @@
         boundaries.push_back(stage.layers.to);
     }
     for (const Candidate &candidate : candidates) {
-        boundaries.push_back(candidate.target->registered.layers.from);
-        boundaries.push_back(candidate.target->registered.layers.to);
+        const LayerRange held = candidate.target->registered.layers.within(context.model->layers);
+        boundaries.push_back(held.from);
+        boundaries.push_back(held.to);
     }
     std::sort(boundaries.begin(), boundaries.end());
     boundaries.erase(std::unique(boundaries.begin(), boundaries.end()), boundaries.end());
--- a/src/policy/engine_group.cpp
+++ b/src/policy/engine_group.cpp
@@ -38,6 +38,9 @@
     std::map<std::string, EngineGroup> byDataCenter;
     for (const PlacedEngine &engine : engines) {
         byDataCenter[engine.dataCenter].push_back(engine);
+        // Plans index their tables by the layers held.
+        LayerRange &held = byDataCenter[engine.dataCenter].back().layers;
+        held = held.within(model.layers);
     }
     std::map<std::string, EngineGroup> groups;
     for (auto &[name, group] : byDataCenter) {
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -1,6 +1,7 @@
 #include "policy/fleet.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Parsleytrail
@@ -27,7 +28,7 @@
         Target &added = fleet.targets[registered.id];
         added.registered = registered;
         added.registeredAt = now;
-        added.isRestart = !fleet.knownAddresses.insert(registered.address).second;
+        added.isRestart = !fleet.knownAddresses.insert({registered.service, registered.address}).second;
         restoreStatements(fleet, added);
         return true;
     }
@@ -81,18 +82,47 @@
     return it == fleet.targets.end() ? nullptr : &it->second;
 }
 
-Target *findTargetAt(Fleet &fleet, const Address &address)
+TargetStart startOf(const Target &target)
+{
+    return {target.registered.id, target.registered.startedAtMs};
+}
+
+Target *findStart(Fleet &fleet, const TargetStart &start)
+{
+    Target *target = findTarget(fleet, start.id);
+    return target && target->registered.startedAtMs == start.startedAtMs ? target : nullptr;
+}
+
+bool isFromTarget(const Target &target, std::uint64_t startedAtMs)
+{
+    const bool isStated = startedAtMs != 0 && target.registered.startedAtMs != 0;
+    return !isStated || startedAtMs == target.registered.startedAtMs;
+}
+
+/// The owner of an address that comes before all others by `isBefore`.
+template<typename Compare>
+static Target *findOwner(Fleet &fleet, const Address &address, Compare isBefore)
 {
     Target *found = nullptr;
     for (auto &[id, target] : fleet.targets) {
-        const bool isNewer = !found || target.registered.startedAtMs > found->registered.startedAtMs;
-        if (target.registered.address == address && isNewer) {
+        const bool isOwner = target.registered.address == address;
+        if (isOwner && (!found || isBefore(target.registered.startedAtMs, found->registered.startedAtMs))) {
             found = &target;
         }
     }
     return found;
 }
 
+Target *findLastOwner(Fleet &fleet, const Address &address)
+{
+    return findOwner(fleet, address, std::greater<>());
+}
+
+Target *findFirstOwner(Fleet &fleet, const Address &address)
+{
+    return findOwner(fleet, address, std::less<>());
+}
+
 int totalOpenRequests(const Target &target)
 {
     return target.openRequests + target.peersOpenRequests;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -13,6 +13,7 @@
 #include "base/ids.h"
 #include "policy/request_limits.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -36,11 +37,12 @@
     {
         return from <= other.from && other.to <= to;
     }
-    /// The intersection with the layers of a model that has `layers` of them, because engines may report a wrong range. The
-    /// count is zero or negative if they don't intersect.
+    /// The intersection with the layers of a model that has `layers` of them, because engines may report a wrong range. Empty, and
+    /// still within the model, if they don't intersect.
     LayerRange within(int layers) const
     {
-        return {from < 0 ? 0 : from, to > layers ? layers : to};
+        const int first = std::clamp(from, 0, layers);
+        return {first, std::clamp(to, first, layers)};
     }
 };
 
@@ -63,7 +65,7 @@
 struct Target {
     RegisteredTarget registered;      ///< latest registry entry
     TimePoint registeredAt{};         ///< when the current start of the target was first registered
-    bool isRestart = false;           ///< its id or its address was registered before: a restart, not an added instance
+    bool isRestart = false;           ///< its id, or its address for the same service, was registered before: a restart, not an added instance
     TimePoint avoidUntil{};           ///< after failures or refusals: gets no work before this time
     int failuresInRow = 0;            ///< requests and probes that failed since the last successful request
     int unansweredProbesInRow = 0;    ///< probes without a valid response, and reports that requests wait for it, since its last valid response
@@ -90,6 +92,14 @@
     TimePoint prefillBusyUntil{};     ///< until when it is expected to process prompts; see policy/prefill_forecast.h
 };
 
+/// One start of a target. A later start under the same id knows and holds nothing of before.
+struct TargetStart {
+    TargetId id;
+    std::uint64_t startedAtMs = 0; ///< see RegisteredTarget
+
+    auto operator<=>(const TargetStart &) const = default;
+};
+
 /// What is remembered of a target without a registry entry: entries of running targets are removed during outages of the store, and come back.
 struct RemovedTarget {
     std::uint64_t startedAtMs = 0; ///< its start, Unix milliseconds
@@ -102,7 +112,8 @@
 struct Fleet {
     std::map<TargetId, Target> targets;               ///< by id
     std::map<TargetId, RemovedTarget> removedTargets; ///< by id, those removed within removedTargetLifetime
-    std::set<Address> knownAddresses; ///< of all targets registered so far, removed ones too; bounded by the number of instances that ever existed
+    /// Services and addresses of all targets registered so far, removed ones too; bounded by the number of instances that ever existed.
+    std::set<std::pair<ServiceName, Address>> knownAddresses;
 };
 
 /// Adds or updates a target. A later start of the same id is a new target, whose observed state is reset. Returns false and
@@ -118,8 +129,17 @@
 
 Target *findTarget(Fleet &fleet, const TargetId &id);
 const Target *findTarget(const Fleet &fleet, const TargetId &id);
-/// The target at an address, the last started if there are several; null if none is registered there.
-Target *findTargetAt(Fleet &fleet, const Address &address);
+TargetStart startOf(const Target &target);
+/// The target if this is its latest start; null if it was removed or has started again.
+Target *findStart(Fleet &fleet, const TargetStart &start);
+/// Whether a statement comes from the registered start of the target. Another process may answer at its address: a later start of it, or
+/// a target that got the address after it had ended. `startedAtMs` is the start of the one that answered; 0: not stated.
+bool isFromTarget(const Target &target, std::uint64_t startedAtMs);
+/// The target at an address; null if none is registered there. Of several, only the last started can be running: it got the address
+/// after the others had ended.
+Target *findLastOwner(Fleet &fleet, const Address &address);
+/// The first started of the targets that are registered at an address. Requests that wait there were sent to it.
+Target *findFirstOwner(Fleet &fleet, const Address &address);
 /// Open requests of this entry and, as last reported, of the other entries.
 int totalOpenRequests(const Target &target);
 /// Whether new work may be sent to the target.
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -156,6 +156,14 @@
     }
 }
 
+void dropConnections(RelayContext &context, const Target &target)
+{
+    const Address &address = target.registered.address;
+    if (findLastOwner(context.fleet, address) == &target) {
+        context.connections.drop(address);
+    }
+}
+
 void avoidTarget(RelayContext &context, const TargetId &id, std::string_view reason)
 {
     Target *target = findTarget(context.fleet, id);
@@ -174,7 +182,7 @@
         // use.
         target->avoidUntil = now;
     }
-    context.connections.drop(target->registered.address);
+    dropConnections(context, *target);
     if (isNew) {
         logEvent(Event::TargetAvoided, {{"target", id.value},
                                         {"address", target->registered.address.toString()},
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -51,6 +51,7 @@
     std::uint64_t &events = all.counter("parsley_relay_events", "Events of streams passed on.");
     std::uint64_t &storeCalls = all.counter("parsley_relay_store_calls", "Calls to the platform's store.");
     std::uint64_t &probes = all.counter("parsley_relay_probes", "Reports asked of engines.");
+    std::uint64_t &foreignReports = all.counter("parsley_relay_foreign_reports", "Reports that came from another process than the engine that was asked.");
     std::uint64_t &orders = all.counter("parsley_relay_orders", "Orders sent to engines.");
     std::uint64_t &crashChecks = all.counter("parsley_relay_crash_checks", "Connections that tested whether a target crashed.");
     std::uint64_t &crashedRuns = all.counter("parsley_relay_crashed_runs", "Requests that were open at a target when it crashed.");
@@ -142,6 +143,8 @@
 /// Records a failure of a target: it gets no new work until its pause is over, and an engine not before it has answered a probe.
 /// Closes its kept connections and logs the change.
 void avoidTarget(RelayContext &context, const TargetId &id, std::string_view reason);
+/// Closes the kept connections to a target, unless another one has got its address.
+void dropConnections(RelayContext &context, const Target &target);
 /// Reads from a field of a target's response, which may be missing, whether the target is leaving.
 void recordLeavingStatement(RelayContext &context, const TargetId &id, std::string_view text);
 
--- a/src/relay/engine_prober.cpp
+++ b/src/relay/engine_prober.cpp
@@ -22,11 +22,11 @@
     HttpClient &client;
     Handlers handlers;
     std::unique_ptr<Timer> tick{};
-    std::set<TargetId> pendingProbes{}; ///< engines with a probe that was not answered yet
+    std::set<TargetStart> pendingProbes{}; ///< engines with a probe that was not answered yet
 
     void probe(const TargetId &id, milliseconds timeout);
     void probeDueEngines();
-    void handleResponse(const TargetId &id, const HttpResult &result);
+    void handleResponse(const TargetStart &engine, const HttpResult &result);
     void applyReport(Target &target, const EngineReport &report);
     void markUnresponsive(const TargetId &id, const std::string &reason);
 };
@@ -72,24 +72,25 @@
     const Target *target = findTarget(context.fleet, id);
     // Targets of plain services have no report and would answer the probe with an error.
     const bool isEngine = target && !target->registered.accelerator.empty();
-    if (!isEngine || !pendingProbes.insert(id).second) {
+    if (!isEngine || !pendingProbes.insert(startOf(*target)).second) {
         return;
     }
     ++context.metrics.probes;
-    HttpClientRequest request = context.adapter.reportRequest();
+    HttpClientRequest request = context.adapter.reportRequest(id);
     request.timeout = timeout;
-    client.fetch(target->registered.address, std::move(request), [this, id](const HttpResult &result) {
-        pendingProbes.erase(id);
-        handleResponse(id, result);
+    client.fetch(target->registered.address, std::move(request), [this, engine = startOf(*target)](const HttpResult &result) {
+        pendingProbes.erase(engine);
+        handleResponse(engine, result);
     });
 }
 
-void EngineProber::Private::handleResponse(const TargetId &id, const HttpResult &result)
+void EngineProber::Private::handleResponse(const TargetStart &engine, const HttpResult &result)
 {
-    Target *target = findTarget(context.fleet, id);
+    Target *target = findStart(context.fleet, engine);
     if (!target) {
         return;
     }
+    const TargetId &id = engine.id;
     recordLeavingStatement(context, id, findHeader(result.headers, context.adapter.headers().targetLeaves));
     if (!result.isOk()) {
         return markUnresponsive(id, result.failure ? result.failure->error.toString() : "status " + std::to_string(result.status));
@@ -105,6 +106,10 @@
     if (!isDecoded) {
         return markUnresponsive(id, error.toString());
     }
+    if (!isFromTarget(*target, report.startedAtMs)) {
+        ++context.metrics.foreignReports;
+        return markUnresponsive(id, "another process answers at its address");
+    }
     applyReport(*target, report);
 }
 
@@ -117,14 +122,14 @@
     target.hasReportedOrders = true;
     target.slowdownFactor = std::max(1.0, report.passSlowdownFactor);
     target.reportedAt = context.clock.now();
-    const bool isNewer = report.ordersAccepted >= target.ordersAccepted || report.startedAtMs > target.registered.startedAtMs;
+    const bool isNewer = report.ordersAccepted >= target.ordersAccepted;
     if (isNewer) {
         target.registered.layers = report.layers;
         target.ordersAccepted = report.ordersAccepted;
         target.isExecutingOrder = report.hasOrderInProgress;
     }
     for (const StalledRequest &stalled : report.stalled) {
-        const Target *unresponsive = findTargetAt(context.fleet, stalled.address);
+        const Target *unresponsive = findFirstOwner(context.fleet, stalled.address);
         if (unresponsive && isUsable(*unresponsive, context.clock.now())) {
             markUnresponsive(unresponsive->registered.id, "requests wait for it");
         }
--- a/src/relay/placement_controller.cpp
+++ b/src/relay/placement_controller.cpp
@@ -45,8 +45,8 @@
     std::function<bool()> mayListBeIncomplete;
     std::set<ServiceName> stableServices{}; ///< services whose list of engines was complete once
     std::unique_ptr<Timer> tick{};
-    std::map<TargetId, PendingOrder> pending{};
-    std::map<TargetId, TimePoint> refusedAt{};         ///< when an engine last refused an order or did not answer it
+    std::map<TargetStart, PendingOrder> pending{};
+    std::map<TargetStart, TimePoint> refusedAt{};         ///< when an engine last refused an order or did not answer it
     std::map<ServiceName, std::size_t> engineCounts{}; ///< number of engines at the last check
     std::map<ServiceName, TimePoint> lastGrownAt{};    ///< when the number of engines last grew
     TimePoint leadingSince{};                          ///< when this entry became the leader; zero: it is not
@@ -60,8 +60,9 @@
     void updatePendingOrders(TimePoint now);
     void probeAllEngines();
     void probeBusyEngines();
+    bool isPausingAfterRefusal(const Target &target, TimePoint now) const;
     void send(const PlacementOrder &order, TimePoint now);
-    void handleResponse(const TargetId &id, const HttpResult &result);
+    void handleResponse(const TargetStart &engine, const HttpResult &result);
 };
 
 PlacementController::PlacementController(RelayContext &context, HttpClient &client, EngineProber &prober, std::function<bool()> maySendOrders,
@@ -118,13 +119,16 @@
 void PlacementController::Private::updatePendingOrders(TimePoint now)
 {
     std::erase_if(pending, [&](const auto &entry) {
-        const Target *target = findTarget(context.fleet, entry.first);
+        const Target *target = findStart(context.fleet, entry.first);
         return !target || target->registered.layers == entry.second.layers || now - entry.second.sentAt > orderLifetime;
     });
-    for (auto &[id, order] : pending) {
+    std::erase_if(refusedAt, [&](const auto &entry) {
+        return now - entry.second >= refusedOrderPause;
+    });
+    for (auto &[engine, order] : pending) {
         if (now - order.probedAt >= orderProbeInterval) {
             order.probedAt = now;
-            prober.probe(id);
+            prober.probe(engine.id);
         }
     }
     if (now - busyProbedAt >= orderProbeInterval) {
@@ -145,7 +149,7 @@
 void PlacementController::Private::probeBusyEngines()
 {
     for (const auto &[id, target] : context.fleet.targets) {
-        if (target.isExecutingOrder && !pending.contains(id)) {
+        if (target.isExecutingOrder && !pending.contains(startOf(target))) {
             prober.probe(id);
         }
     }
@@ -192,7 +196,7 @@
         engine.isUnreachable = trustsFailures && isLost(target);
         engine.isLeaving = isLeaving(target) || engine.isUnreachable;
         engine.hasPendingOrder = target.isExecutingOrder; // it executes an order of another leader, or one whose response was lost
-        const auto order = pending.find(id);
+        const auto order = pending.find(startOf(target));
         if (order != pending.end()) {
             engine.layers = order->second.layers;
             engine.hasPendingOrder = true;
@@ -234,10 +238,8 @@
         return;
     }
     for (const PlacementOrder &order : planPlacement(*service.engine, engines)) {
-        const bool isOrdered = pending.contains(order.id);
         const Target *target = findTarget(context.fleet, order.id);
-        const bool isPausing = refusedAt.contains(order.id) && now - refusedAt[order.id] < refusedOrderPause;
-        if (isOrdered || isPausing || !target || !isUsable(*target, now)) {
+        if (!target || !isUsable(*target, now) || pending.contains(startOf(*target)) || isPausingAfterRefusal(*target, now)) {
             continue;
         }
         // An order with a wrong count is refused, and the engine's layers stay uncovered for another interval.
@@ -249,36 +251,43 @@
     }
 }
 
+bool PlacementController::Private::isPausingAfterRefusal(const Target &target, TimePoint now) const
+{
+    const auto refused = refusedAt.find(startOf(target));
+    return refused != refusedAt.end() && now - refused->second < refusedOrderPause;
+}
+
 void PlacementController::Private::send(const PlacementOrder &order, TimePoint now)
 {
     const Target &target = *findTarget(context.fleet, order.id);
-    pending[order.id] = {order.layers, now, now};
+    pending[startOf(target)] = {order.layers, now, now};
     ++context.metrics.orders;
     logEvent(Event::OrderSent, {{"target", order.id.value},
                                 {"layers", std::to_string(order.layers.from) + "-" + std::to_string(order.layers.to)},
                                 {"held", std::to_string(target.registered.layers.from) + "-" + std::to_string(target.registered.layers.to)},
                                 {"orders", std::to_string(target.ordersAccepted)},
                                 {"reason", order.reason}});
-    HttpClientRequest request = context.adapter.placeRequest({order.layers, target.ordersAccepted, order.dropsStreams});
+    HttpClientRequest request = context.adapter.placeRequest(order.id, {order.layers, target.ordersAccepted, order.dropsStreams});
     request.timeout = orderTimeout;
-    client.fetch(target.registered.address, std::move(request), [this, id = order.id](const HttpResult &result) {
-        handleResponse(id, result);
+    client.fetch(target.registered.address, std::move(request), [this, engine = startOf(target)](const HttpResult &result) {
+        handleResponse(engine, result);
     });
 }
 
-void PlacementController::Private::handleResponse(const TargetId &id, const HttpResult &result)
+void PlacementController::Private::handleResponse(const TargetStart &engine, const HttpResult &result)
 {
+    const TargetId &id = engine.id;
     const std::string outcome = result.failure ? result.failure->error.text : std::to_string(result.status);
     logEvent(Event::OrderAnswered, {{"target", id.value}, {"outcome", outcome}, {"body", result.body.substr(0, 200)}});
     recordLeavingStatement(context, id, findHeader(result.headers, context.adapter.headers().targetLeaves));
-    const auto order = pending.find(id);
+    const auto order = pending.find(engine);
     if (order == pending.end()) {
         return;
     }
     if (!result.isOk()) {
         // Refused, or the outcome is unknown: the engine's report shows its layers, and the next plan starts from them.
         pending.erase(order);
-        refusedAt[id] = context.clock.now();
+        refusedAt[engine] = context.clock.now();
         prober.probe(id);
     }
 }
--- a/src/relay/platform_adapter.h
+++ b/src/relay/platform_adapter.h
@@ -52,7 +52,7 @@
     bool hasOrderInProgress = false;     ///< it is carrying out an order
     double passSlowdownFactor = 1;       ///< slowdown factor of each pass; 1: usual speed
     std::uint64_t ordersAccepted = 0;    ///< number of orders begun since its start
-    std::uint64_t startedAtMs = 0;       ///< its start time, Unix milliseconds
+    std::uint64_t startedAtMs = 0;       ///< start time of the engine that reports, Unix milliseconds; 0: not stated
     std::vector<StalledRequest> stalled; ///< requests that entered their chain here and are stalled
 };
 
@@ -78,10 +78,11 @@
     /// Decodes a target's row in the registry. Fails with the step "decode target" if the row describes no usable target.
     virtual Result<RegisteredTarget> decodeTarget(const std::string &id, std::string_view bytes) const = 0;
 
-    virtual HttpClientRequest reportRequest() const = 0;
+    /// The requests to an engine name it: after it has ended, another target may have its address, which refuses them with 421.
+    virtual HttpClientRequest reportRequest(const TargetId &engine) const = 0;
     /// Fails with the step "decode report".
     virtual Result<EngineReport> decodeReport(std::string_view bytes) const = 0;
-    virtual HttpClientRequest placeRequest(const PlaceOrder &order) const = 0;
+    virtual HttpClientRequest placeRequest(const TargetId &engine, const PlaceOrder &order) const = 0;
     /// Command to the first engine of a chain: a running request continues through another chain with the same first stage.
     virtual HttpClientRequest moveRequest(const std::string &attemptId, const std::vector<ChainStage> &chain) const = 0;
     /// Decodes the value of the field that lists the parts of a prompt: their ids in order. Requests share parts, but never the last one.
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -413,7 +413,7 @@
         return;
     }
     logEvent(Event::TargetUnlisted, {{"target", key}, {"address", target->registered.address.toString()}});
-    context.connections.drop(target->registered.address);
+    dropConnections(context, *target);
     recordRemoval(context.fleet, TargetId{key}, context.clock.now());
     handlers.onTargets();
 }
--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -405,7 +405,10 @@
         return;
     }
     input.erase(0, head.text.size() + used);
-    if (head.path() == "/report") {
+    const std::string_view expected = head.find("X-Expect-Instance");
+    if (!expected.empty() && expected != engine.id) {
+        answer(connection, 421, {});
+    } else if (head.path() == "/report") {
         report(engine, connection);
     } else if (head.path() == "/order") {
         const Json order = Json::parse(body);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -400,4 +400,20 @@
         }
     }
 }
+
+/// Guards against a plan that writes outside of its vectors: an engine is said to hold layers that the model does not have.
+BOOST_AUTO_TEST_CASE(layersThatTheModelDoesNotHaveAreNotPlanned)
+{
+    const EngineModel model = largeModel();
+    std::vector<PlacedEngine> sound = makeEngines("a", {{"large", 4}, {"middle", 6}});
+    planUntilStable(model, sound);
+    for (const LayerRange &wild : {LayerRange{model.layers + 3, model.layers + 30}, {-5, model.layers * 2}, {9, 2}, {-9, -2}}) {
+        std::vector<PlacedEngine> engines = sound;
+        engines[0].layers = wild;
+        for (const PlacementOrder &order : planPlacement(model, engines)) {
+            BOOST_TEST((LayerRange{0, model.layers}.contains(order.layers)));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
