A relay whose store is silent stops vouching for its tables, and those who copy from it read in time

Hypotheses: (1) the reader goes on to say that it watches until its watch has timed out twice (2.7 + 0.1 + 1.0 s); (2) the neighbour hears of it in time and waits for its own reasons; (3) its read is slow. Told apart by the new fields of the state dump (readsStore, isQueryingStore, isStoreFailing, isStorePathLost): the reader says "reads" all the while, the neighbour asks the store only once the path is lost, so (1).

Fix: a reader counts its store as silent when neither table's watch was answered for 1.2 s, and says so at once: not watching, failing. The watch of the targets asks for an answer every 0.6 s, so that a store without news is told from a silent one. The neighbour then reads by itself 1.5 s after the cut at the latest, and the cut-off reader copies from it. Members read by themselves 0.35 s, and up to 50 ms for each known entry, after their aggregator and the standby have lost the store, in place of 4 s.

Who else relies on a peer for the tables: members, other aggregators and the standby had it (all by the same statement); a cut-off aggregator's other members had it (it copies from the standby now, as its state says failing); 401 and 404 from an older configuration taken for fresh had it (the confirmation needs an entry that reaches the store). A relay that has just started reads by itself, or at the first start of all for 3 s at most: not. The leader's lease is its own call to the store: not.

Tests failed before, with the constants of before (silence never noticed): RelayStoreSilenceTest/aNeighbourDoesNotWaitForACutOffReaderToGiveUp (applied only after the reader's path was lost) and aMemberReadsByItselfBeforeAConfigurationIsDue (4149 ms).

--- a/src/policy/table_source.cpp
+++ b/src/policy/table_source.cpp
@@ -2,6 +2,8 @@
 
 #include "policy/exchange_groups.h"
 
+#include <algorithm>
+
 namespace Parsleytrail
 {
 
@@ -94,6 +96,18 @@
     return !isAggregator(exchange) && hasRecentDigest(exchange, now) && !isStandby;
 }
 
+bool isStoreSilent(const StoreContact &contact, TimePoint now)
+{
+    return now - std::max(contact.askedAt, contact.answeredAt) > maxStoreSilence;
+}
+
+void recordSource(MemberPatience &patience, int entries, double turn, TimePoint now)
+{
+    // Members read by themselves one after the other: all at once would make as many calls as there are entries.
+    const auto turnTime = std::chrono::duration_cast<milliseconds>(memberTurnTime * entries * turn);
+    patience.readsAt = now + standbyTime + turnTime;
+}
+
 TableAccess chooseTableAccess(const PeersView &others, bool isComplete, bool isPatient)
 {
     if (!others.source.host.empty()) {
--- a/src/policy/table_source.h
+++ b/src/policy/table_source.h
@@ -24,6 +24,34 @@
 /// standby try already.
 bool leavesReadingToOthers(const LoadExchange &exchange, TimePoint now);
 
+/// The last contact of an entry that reads the store.
+struct StoreContact {
+    TimePoint askedAt{};    ///< when it began to read, after it had left that to others
+    TimePoint answeredAt{}; ///< when the store last answered it
+};
+
+/// A watch of the targets is answered after this time, also without changes, so that a store that is silent is noticed: the rows of
+/// targets may not change for long.
+constexpr milliseconds contactInterval{600};
+/// A store that has not answered for this long counts as silent for the entry: an interval, the pause between two watches, and the answer
+/// of a store that is sixty times slower than usual. Entries that copy from it have to notice and to read a change themselves before it
+/// must be in force, which may be 2 s after it was made.
+constexpr milliseconds maxStoreSilence{1200};
+/// Whether the store is silent for an entry that reads it. Others must not rely on its tables then.
+bool isStoreSilent(const StoreContact &contact, TimePoint now);
+
+/// When a member stops to leave reading to its aggregator and the standby, if neither of them reaches the store.
+struct MemberPatience {
+    TimePoint readsAt{}; ///< from then on it reads by itself, unless it has a source
+};
+
+/// Time for the standby to read, and for what it has read to reach all members.
+constexpr milliseconds standbyTime{350};
+constexpr milliseconds memberTurnTime{50}; ///< members read one after the other, with this time for each known entry
+
+/// The entry has a source. `entries` is the number of the others, `turn` a random number in [0, 1).
+void recordSource(MemberPatience &patience, int entries, double turn, TimePoint now);
+
 /// What an entry does about the tables at present.
 enum class TableAccess {
     Copy,          ///< copies newer rows from PeersView::source
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -25,9 +25,9 @@
 /// If an aggregator's source does not get rows that another entry has, they are copied from that one after this time: longer than
 /// summaries take in a fleet of some hundred entries.
 constexpr milliseconds sourceLagTimeout{1000};
-/// How long a member leaves reading to its aggregator and the standby while these don't reach the store, plus one turn for each entry.
-constexpr milliseconds minMemberPatience{4000};
-constexpr milliseconds memberTurnTime{50};
+
+/// After its start an entry leaves reading to others for this long, if it has the tables and the others don't reach the store.
+constexpr milliseconds startPatience{4000};
 
 /// The last copy that was sent of a table. The members of a group ask for the same one at the same time.
 struct EncodedCopy {
@@ -54,8 +54,9 @@
     EncodedCopy lastTargetsCopy{};
     TimePoint behindSince{};      ///< since when another entry has newer rows than this one; zero: none has
     TimePoint storeSilentSince{}; ///< since when no entry is known to reach the store; zero: one does, or this entry queries it
-    TimePoint readsByItselfAt{};  ///< when this entry stops to leave reading to others, if none of them reaches the store
+    MemberPatience patience{};    ///< with others that don't reach the store
 
+    bool isSilent() const;
     void updateStoreReachability(const PeersView &others);
     void recordStoreReachable(bool isReachable);
     void followSource(const TableSource &source);
@@ -82,7 +83,8 @@
         d->handlers.onRoutes();
     };
     onConfiguration.onStoreReachable = [](bool) {};
-    d->configuration = std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), std::move(onConfiguration));
+    d->configuration = std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), context.settings.storeWatch,
+                                                      std::move(onConfiguration));
 
     TableWatcher::Handlers onTargets;
     onTargets.onRow = [this](const Row &row) {
@@ -98,7 +100,8 @@
     onTargets.onStoreReachable = [this](bool isReachable) {
         d->recordStoreReachable(isReachable);
     };
-    d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(), std::move(onTargets));
+    d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(), std::min(contactInterval, context.settings.storeWatch),
+                                                std::move(onTargets));
     d->removalTimer = std::make_unique<Timer>(context.loop, [this] {
         d->removeDueTargets();
     });
@@ -109,7 +112,7 @@
 void Registry::start()
 {
     const milliseconds copyWait = d->context.settings.firstStart ? maxCopyWait : milliseconds(0);
-    d->readsByItselfAt = d->context.clock.now() + minMemberPatience;
+    d->patience.readsAt = d->context.clock.now() + startPatience;
     d->configuration->start(copyWait);
     d->targets->start(copyWait);
 }
@@ -135,6 +138,16 @@
     return d->isStoreUnreachable;
 }
 
+bool Registry::isQueryingStore() const
+{
+    return d->targets->isQuerying() || d->configuration->isQuerying();
+}
+
+bool Registry::isStorePathLost() const
+{
+    return d->targets->isStoreLost() || d->configuration->isStoreLost();
+}
+
 TimePoint Registry::storeLostAt() const
 {
     return d->storeLostAt;
@@ -142,10 +155,10 @@
 
 void Registry::describe(EntryState &state) const
 {
+    state.isStoreFailing = isStorePathLost() || d->isSilent();
     // An entry that does not query the store can't tell whether it is reachable.
-    state.isStoreLost = d->isStoreUnreachable || !d->targets->isWatching();
-    state.isStoreFailing = d->targets->isStoreLost() || d->configuration->isStoreLost();
-    state.isWatching = isComplete() && d->targets->isWatching() && d->configuration->isWatching();
+    state.isStoreLost = d->isStoreUnreachable || !d->targets->isWatching() || state.isStoreFailing;
+    state.isWatching = isComplete() && d->targets->isWatching() && d->configuration->isWatching() && !state.isStoreFailing;
     state.configurationChange = d->configuration->lastChange();
     state.targetsChange = d->targets->lastChange();
 }
@@ -154,7 +167,7 @@
 {
     const EntriesView &entries = others.entries;
     d->updateStoreReachability(others);
-    switch (chooseTableAccess(others, isComplete(), d->context.clock.now() < d->readsByItselfAt)) {
+    switch (chooseTableAccess(others, isComplete(), d->context.clock.now() < d->patience.readsAt)) {
     case TableAccess::Copy:
         d->followSource(others.source);
         if (others.aggregator.empty()) {
@@ -182,6 +195,15 @@
     }
 }
 
+/// Whether this entry queries the store and has no answer for too long. The answers to either table count: both come from one store.
+bool Registry::Private::isSilent() const
+{
+    const StoreContact &first = targets->contact();
+    const StoreContact &second = configuration->contact();
+    const StoreContact both{std::max(first.askedAt, second.askedAt), std::max(first.answeredAt, second.answeredAt)};
+    return targets->isQuerying() && isStoreSilent(both, context.clock.now());
+}
+
 /// An entry that does not query the store learns from the others that none of them reaches it, and when one does again. Rows that
 /// are missing after an outage are treated as by an entry that queried it all the while.
 void Registry::Private::updateStoreReachability(const PeersView &others)
@@ -212,9 +234,7 @@
 /// Copies what the source has and this entry has not.
 void Registry::Private::followSource(const TableSource &source)
 {
-    // Members read by themselves one after the other: all at once would make as many calls as there are entries.
-    std::uniform_int_distribution<std::int64_t> turn(0, memberTurnTime.count() * static_cast<std::int64_t>(1 + context.entryCount.mostPeersSeen));
-    readsByItselfAt = context.clock.now() + minMemberPatience + milliseconds(turn(context.random));
+    recordSource(patience, context.entryCount.mostPeersSeen, drawShare(context.random), context.clock.now());
     configuration->followPeer();
     targets->followPeer();
     if (source.configurationChange > configuration->lastChange()) {
--- a/src/relay/registry.h
+++ b/src/relay/registry.h
@@ -38,6 +38,10 @@
     /// Whether the store is unreachable, and when it last became so.
     bool isStoreLost() const;
     TimePoint storeLostAt() const;
+    /// Whether this entry queries the store, also by a watch from before it found another one to copy from.
+    bool isQueryingStore() const;
+    /// Whether this entry's own calls to the store failed repeatedly.
+    bool isStorePathLost() const;
     /// Whether a configuration is in force and the target table was read.
     bool isComplete() const;
     /// Whether the configuration was confirmed within the last three seconds. Only then may an unknown route or key be answered as an
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -615,6 +615,13 @@
     state["aggregator"] = d->peers->others().aggregator;
     state["followsAggregator"] = !d->peers->others().source.host.empty();
     state["tablesFrom"] = d->peers->others().source.host;
+    EntryState tables;
+    d->registry->describe(tables);
+    state["readsStore"] = tables.isWatching;
+    state["isQueryingStore"] = d->registry->isQueryingStore();
+    state["isStoreFailing"] = tables.isStoreFailing;
+    state["isStorePathLost"] = d->registry->isStorePathLost();
+    state["isStoreLost"] = d->registry->isStoreLost();
     state["callerConnections"] = d->sessions->count();
     state["maxCallerConnections"] = d->admission->maxConnections();
     state["openRequestsLimit"] = static_cast<int>(d->admission->overload().openLimit);
--- a/src/relay/table_watcher.cpp
+++ b/src/relay/table_watcher.cpp
@@ -30,6 +30,7 @@
     HttpClient &client;
     Address store;
     std::string table;
+    milliseconds wait; ///< of a watch
     Handlers handlers;
 
     std::unique_ptr<Timer> next{};
@@ -43,6 +44,7 @@
     std::uint64_t lastChange = 0;                     ///< highest version of any row, including removed ones
     std::uint64_t historyStart = 0;                   ///< revision of the first read: removals before it are unknown
     TimePoint confirmedAt{};
+    StoreContact contact{};
     TimePoint followingPeerUntil{}; ///< until when a peer is relied on to watch the table
     int failures = 0;
     int resetsInRow = 0; ///< watches that the store had no history for, since one that it answered
@@ -72,8 +74,8 @@
     return copy.change > lastChange && !hasMissingChanges;
 }
 
-TableWatcher::TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, Handlers handlers)
-    : d(std::make_unique<Private>(Private{context, client, store, std::move(table), std::move(handlers)}))
+TableWatcher::TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, Handlers handlers)
+    : d(std::make_unique<Private>(Private{context, client, store, std::move(table), wait, std::move(handlers)}))
 {
     d->next = std::make_unique<Timer>(context.loop, [this] {
         d->queryUnlessFollowing();
@@ -104,6 +106,11 @@
     return d->confirmedAt;
 }
 
+const StoreContact &TableWatcher::contact() const
+{
+    return d->contact;
+}
+
 bool TableWatcher::isStoreLost() const
 {
     return d->failures >= failuresUntilLost;
@@ -119,6 +126,11 @@
     return d->isWatching && d->call && !d->isFollowingPeer();
 }
 
+bool TableWatcher::isQuerying() const
+{
+    return !d->isStarting && !d->isWaitingForPeer;
+}
+
 TableCopy TableWatcher::copyRows(std::uint64_t after) const
 {
     TableCopy copy;
@@ -224,15 +236,18 @@
 
 void TableWatcher::Private::queryStore()
 {
+    if (isWaitingForPeer || isStarting) {
+        contact.askedAt = context.clock.now();
+    }
     isWaitingForPeer = false;
     isStarting = false;
     isSettling = false;
     ++context.metrics.storeCalls;
     // A recovered store answers a watch only at the next change, but its recovery has to be noticed at once: for Registry's
     // expiredEntryGrace after it, removals are taken for rows that expired during the outage, and later ones must not be.
-    const milliseconds wait = failures > 0 ? milliseconds(0) : context.settings.storeWatch;
-    HttpClientRequest request = isWatching ? context.adapter.watchRowsRequest(table, revision, wait) : context.adapter.readRowsRequest({table, readFrom, {}});
-    request.timeout = isWatching && failures == 0 ? wait + watchMargin : readTimeout;
+    const milliseconds thisWait = failures > 0 ? milliseconds(0) : wait;
+    HttpClientRequest request = isWatching ? context.adapter.watchRowsRequest(table, revision, thisWait) : context.adapter.readRowsRequest({table, readFrom, {}});
+    request.timeout = isWatching && failures == 0 ? thisWait + watchMargin : readTimeout;
     call = client.fetch(store, std::move(request), [this](const HttpResult &result) {
         handleResponse(result);
     });
@@ -268,6 +283,7 @@
 void TableWatcher::Private::recordResponse()
 {
     confirmedAt = context.clock.now();
+    contact.answeredAt = confirmedAt;
     if (failures >= failuresUntilLost) {
         logEvent(Event::StoreBack, {{"table", table}});
         handlers.onStoreReachable(true);
--- a/src/relay/table_watcher.h
+++ b/src/relay/table_watcher.h
@@ -6,6 +6,7 @@
 
 #include "generated/messages.h"
 #include "http/client.h"
+#include "policy/table_source.h"
 #include "relay/context.h"
 #include "store/rows.h"
 
@@ -31,7 +32,8 @@
         std::function<void(bool isReachable)> onStoreReachable; ///< the store was lost or has recovered
     };
 
-    TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, Handlers handlers);
+    /// A watch without changes is answered after `wait`.
+    TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, Handlers handlers);
     ~TableWatcher();
     /// Reads the table, or first waits up to `copyWait` for a peer's copy of it.
     void start(milliseconds copyWait);
@@ -39,12 +41,16 @@
     bool isRead() const;
     /// When the store last answered, or a peer that reaches the store last reported that it has no newer change.
     TimePoint confirmedAt() const;
+    /// When this watcher last began to query the store, and when the store last answered it.
+    const StoreContact &contact() const;
     /// Whether the store is unreachable.
     bool isStoreLost() const;
     /// Newest change that was received, as a revision of the store.
     std::uint64_t lastChange() const;
     /// Whether this process watches the table itself, not through a peer.
     bool isWatching() const;
+    /// Whether it queries the store, or is about to do so again, and does not wait for a peer.
+    bool isQuerying() const;
     /// Rows changed after a revision, for a peer; all rows if it is 0 or older than the first read of this watcher.
     TableCopy copyRows(std::uint64_t after) const;
     /// Applies a peer's rows if canApplyCopy().
--- /dev/null
+++ b/tests/relay_store_silence_test.cpp
@@ -0,0 +1,126 @@
+// A store that falls silent for one relay alone, while the others reach it.
+#include "policy/table_source.h"
+#include "tests/relay_system.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Parsleytrail;
+using namespace Parsleytrail::Test;
+using Json = nlohmann::json;
+
+namespace
+{
+
+constexpr milliseconds configurationBound{2000}; ///< from the acknowledgement of a configuration until it must be in force
+
+Json stateOf(RelaySystem &system, std::size_t relay)
+{
+    return Json::parse(system.relay(relay).dumpState());
+}
+
+/// Two relays of one data centre of which one reads the store for both.
+struct ReaderAndNeighbour {
+    RelaySystem system;
+    std::size_t reader = 0;
+    std::size_t neighbour = 1;
+
+    static RelaySystemOptions options()
+    {
+        RelaySystemOptions options;
+        options.relays = 2;
+        options.hasStorePaths = true;
+        options.tuneRelay = [](RelaySettings &settings) {
+            settings.storeWatch = milliseconds(2000);
+        };
+        return options;
+    }
+    ReaderAndNeighbour()
+        : system(options())
+    {
+        system.waitReady();
+        system.wait("one reader", [this] {
+            const bool first = stateOf(system, 0)["readsStore"];
+            const bool second = stateOf(system, 1)["readsStore"];
+            reader = first ? 0 : 1;
+            neighbour = 1 - reader;
+            const Json state = stateOf(system, neighbour);
+            return first != second && !state["tablesFrom"].get<std::string>().empty() && !state["isQueryingStore"].get<bool>();
+        });
+    }
+    int statusAtNeighbour(const std::string &id)
+    {
+        const RawCallPtr call = system.send(system.request("GET", "/read/x", id), neighbour);
+        system.wait("an answer", [&call] {
+            return call->hasCompleteResponse();
+        });
+        return call->status();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayStoreSilenceTest)
+
+/// Guards against requests with revoked keys at a relay whose own path to the store is sound: it relied on a reader that was cut off.
+BOOST_AUTO_TEST_CASE(aNeighbourDoesNotWaitForACutOffReaderToGiveUp)
+{
+    ReaderAndNeighbour pair;
+    pair.system.cutStore(pair.reader);
+    pair.system.configure(2, {"key-2"});
+    int number = 0;
+    pair.system.wait("the revoked key to be refused", [&] {
+        return pair.statusAtNeighbour("c" + std::to_string(++number)) == 401;
+    });
+    BOOST_TEST(!stateOf(pair.system, pair.reader)["isStorePathLost"].get<bool>());
+}
+
+/// Guards against a relay that keeps an older configuration because it alone does not reach the store.
+BOOST_AUTO_TEST_CASE(aCutOffReaderCopiesFromItsNeighbour)
+{
+    ReaderAndNeighbour pair;
+    pair.system.cutStore(pair.reader);
+    pair.system.configure(2, {"key-2"});
+    pair.system.wait("the configuration at the reader", [&] {
+        return stateOf(pair.system, pair.reader)["configurationVersion"] == 2;
+    });
+    BOOST_TEST(!stateOf(pair.system, pair.reader)["readsStore"].get<bool>());
+}
+
+/// Guards against two readers for good: after the cut the best aggregator reads for its neighbour again.
+BOOST_AUTO_TEST_CASE(oneRelayReadsAgainAfterACut)
+{
+    ReaderAndNeighbour pair;
+    pair.system.cutStore(pair.reader);
+    pair.system.wait("the neighbour to read", [&] {
+        return stateOf(pair.system, pair.neighbour)["readsStore"].get<bool>();
+    });
+    pair.system.healStore(pair.reader);
+    pair.system.wait("the reader to read again, and its neighbour to copy", [&] {
+        return stateOf(pair.system, pair.reader)["readsStore"].get<bool>() && !stateOf(pair.system, pair.neighbour)["readsStore"].get<bool>();
+    });
+}
+
+/// Guards against a member that keeps an older configuration because its aggregator and the standby are both cut off.
+BOOST_AUTO_TEST_CASE(aMemberReadsByItselfBeforeAConfigurationIsDue)
+{
+    constexpr int others = 3;
+    constexpr double lastTurn = 0.999;
+    constexpr int messagesUntilKnown = 2; // of the aggregator's silence
+    const TimePoint now{std::chrono::hours(1)};
+    MemberPatience patience;
+    recordSource(patience, others, lastTurn, now);
+    const auto waits = std::chrono::duration_cast<milliseconds>(patience.readsAt - now);
+    BOOST_TEST(maxStoreSilence + messagesUntilKnown * exchangeInterval + waits < configurationBound);
+}
+
+BOOST_AUTO_TEST_CASE(aStoreIsSilentOnceItHasNotAnsweredForTooLong)
+{
+    const TimePoint asked{std::chrono::hours(1)};
+    BOOST_TEST(!isStoreSilent({asked, {}}, asked + maxStoreSilence));
+    BOOST_TEST(isStoreSilent({asked, {}}, asked + maxStoreSilence + milliseconds(1)));
+    BOOST_TEST(!isStoreSilent({asked, asked + maxStoreSilence}, asked + 2 * maxStoreSilence));
+    BOOST_TEST(contactInterval < maxStoreSilence);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -3,6 +3,7 @@
 #include "base/text.h"
 #include "http/client.h"
 #include "stand-ins/registry_entry.h"
+#include "tests/store_path.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -82,6 +83,7 @@
 
 struct RunningRelay {
     RelaySettings settings;
+    std::unique_ptr<StorePath> storePath; ///< null: it reaches the store directly
     std::unique_ptr<Relay> relay;
     int starts = 0;
 };
@@ -156,7 +158,10 @@
     settings.peerPort = firstPort + getpid() % runs * portsOfRun;
     settings.metricsPort = 0;
     settings.seeds = {"127.0.0.10:1"};
-    settings.store = d->storeAddress.toString();
+    if (d->options.hasStorePaths && !running.storePath) {
+        running.storePath = std::make_unique<StorePath>(d->loop, d->storeAddress);
+    }
+    settings.store = (running.storePath ? running.storePath->address() : d->storeAddress).toString();
     settings.storeWatch = milliseconds(300);
     settings.stopTimeout = milliseconds(8000);
     if (d->options.tuneRelay) {
@@ -457,6 +462,16 @@
     return d->loop;
 }
 
+void RelaySystem::cutStore(std::size_t relay)
+{
+    d->relays.at(relay)->storePath->cut();
+}
+
+void RelaySystem::healStore(std::size_t relay)
+{
+    d->relays.at(relay)->storePath->heal();
+}
+
 StandIn::TableStore &RelaySystem::store()
 {
     return d->store;
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -49,6 +49,7 @@
     bool hasPriorities = false;                     ///< adds a route of less urgent streams; all stream routes have a target gap of 250 ms
     int slots = 6;                                  ///< concurrent requests of each target
     double prefillTokensPerMs = 100;                ///< of the engines, as configured
+    bool hasStorePaths = false;                     ///< each relay reaches the store by a path of its own, see cutStore()
     int talkPriority = 1;                           ///< priority of the route /talk/; that of /chat/ is 1
     milliseconds streamTarget{300};                 ///< target latency of the streams of the service "chat"
     std::function<void(RelaySettings &)> tuneRelay; ///< changes the settings of each relay before its start
@@ -106,6 +107,9 @@
     std::vector<RawCallPtr> startRepeatedly(milliseconds interval, milliseconds time, const std::function<RawCallPtr(std::size_t)> &start);
 
     EventLoop &loop();
+    /// The store falls silent for one relay alone.
+    void cutStore(std::size_t relay);
+    void healStore(std::size_t relay);
     StandIn::TableStore &store();
     StandIn::ChainEngines &engines();
     Relay &relay(std::size_t index = 0);
