A relay that alone was cut off from the store doesn't grant removed targets a time to come back

A relay took the loss of its own path for the store's, though others reached the store all the while, and kept targets that had been removed.

Fix: the store counts as lost only while no entry that this one hears of reaches it; once one does, it counts as back.

--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -47,7 +47,8 @@
     std::map<std::string, TimePoint> removals{}; ///< keys of targets to be removed, and when
     TimePoint storeRecoveredAt{};                ///< when the store last recovered; zero: it was never lost
     TimePoint storeLostAt{};                     ///< when the store was last lost
-    bool isStoreUnreachable = false;
+    bool isStoreUnreachable = false;          ///< by this entry and by all others that it knows of
+    bool isReachedByOthers = false;           ///< another entry reaches the store, as last reported
     bool hadCompleteList = false;    ///< before the store was last lost; targets whose rows expired since are kept for expiredEntryGrace
     std::set<std::string> copying{}; ///< tables of which a copy was requested from a peer
     EncodedCopy lastConfigurationCopy{};
@@ -58,6 +59,7 @@
 
     bool isSilent() const;
     void updateStoreReachability(const PeersView &others);
+    void recordOwnPath(bool isReachable);
     void recordStoreReachable(bool isReachable);
     void followSource(const TableSource &source);
     void copyIfBehind(const EntriesView &entries);
@@ -98,7 +100,7 @@
         d->handlers.onTargets();
     };
     onTargets.onStoreReachable = [this](bool isReachable) {
-        d->recordStoreReachable(isReachable);
+        d->recordOwnPath(isReachable);
     };
     d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(), std::min(contactInterval, context.settings.storeWatch),
                                                 std::move(onTargets));
@@ -204,15 +206,28 @@
     return targets->isQuerying() && isStoreSilent(both, context.clock.now());
 }
 
-/// An entry that does not query the store learns from the others that none of them reaches it, and when one does again. Rows that
-/// are missing after an outage are treated as by an entry that queried it all the while.
+/// This entry has lost the store, or reaches it again. While another entry reaches it, only the path is lost: no rows expire for want of
+/// the store, and those that are removed are gone.
+void Registry::Private::recordOwnPath(bool isReachable)
+{
+    const bool isChange = isReachable ? isStoreUnreachable : !isStoreUnreachable && !isReachedByOthers;
+    if (isChange) {
+        recordStoreReachable(isReachable);
+    }
+}
+
+/// An entry that does not reach the store learns from the others that none of them does, and when one does again. Rows that are
+/// missing after an outage are treated as by an entry that queried it all the while.
 void Registry::Private::updateStoreReachability(const PeersView &others)
 {
-    const bool isQuerying = targets->isWatching() || targets->isStoreLost();
-    if (others.entries.isStoreReached || isQuerying || others.entries.entries == 0) {
+    isReachedByOthers = others.entries.isStoreReached;
+    const bool isOwnPathLost = targets->isStoreLost();
+    if (isReachedByOthers || isOwnPathLost || targets->isWatching() || others.entries.entries == 0) {
         storeSilentSince = TimePoint();
-        if (!isQuerying && isStoreUnreachable && others.entries.isStoreReached) {
+        if (isReachedByOthers && isStoreUnreachable) {
             recordStoreReachable(true);
+        } else if (isOwnPathLost && !isReachedByOthers && !isStoreUnreachable) {
+            recordStoreReachable(false);
         }
         return;
     }
--- a/tests/relay_store_silence_test.cpp
+++ b/tests/relay_store_silence_test.cpp
@@ -87,6 +87,36 @@
     BOOST_TEST(!stateOf(pair.system, pair.reader)["readsStore"].get<bool>());
 }
 
+/// Guards against requests to a target that has left: a relay that alone had been cut off kept it as if the store had lost its row.
+BOOST_AUTO_TEST_CASE(aRemovalAfterACutOfOneRelayCountsAtOnce)
+{
+    ReaderAndNeighbour pair;
+    const auto knows = [&pair](std::size_t relay, const char *id) {
+        return stateOf(pair.system, relay).value("targets", Json::object()).contains(id);
+    };
+    const auto answer = [](const StandIn::RawRequest &request) {
+        return StandIn::RawReply{StandIn::sealedAnswer(request, "fine")};
+    };
+    pair.system.addTarget("leaves", answer);
+    pair.system.wait("the target at both", [&] {
+        return knows(0, "leaves") && knows(1, "leaves");
+    });
+    pair.system.cutStore(pair.reader);
+    pair.system.wait("the path to be lost", [&] {
+        return stateOf(pair.system, pair.reader)["isStorePathLost"].get<bool>();
+    });
+    pair.system.healStore(pair.reader);
+    pair.system.wait("the reader to read again", [&] {
+        return stateOf(pair.system, pair.reader)["readsStore"].get<bool>();
+    });
+    pair.system.unregister("leaves");
+    pair.system.addTarget("comes", answer);
+    pair.system.wait("the next change at the reader", [&] {
+        return knows(pair.reader, "comes");
+    });
+    BOOST_TEST(!knows(pair.reader, "leaves"));
+}
+
 /// Guards against two readers for good: after the cut the best aggregator reads for its neighbour again.
 BOOST_AUTO_TEST_CASE(oneRelayReadsAgainAfterACut)
 {
