Bytes of a target that can't become an answer end its connection at a named bound

A sealed failure of 300 kB reached the caller cut to 195,491 bytes, with a length that fitted.

Cause: none of these was bounded. What is no answer was read and dropped, and the buffer for failures was filled up to its bound and then passed on.

A target's own result below 500 is passed on whole, whatever its length.

Not measured: processor time. Left: a head that drips one byte at a time.

--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -52,6 +52,7 @@
     Target *chooseAdmittedTarget(bool &isOverLimits);
     void startAttempt();
     void handleHead(const HttpHead &head) override;
+    bool isResult(const HttpHead &head) const;
     void handleBody(std::string &body) override;
     void handleEnd() override;
     void handleFailure(const TargetFailure &failure) override;
@@ -182,15 +183,24 @@
     m_firstByteAt = m_context.clock.now();
 }
 
+/// Whether a response is the target's own and goes to the caller, whatever its length.
+bool CallForwarding::isResult(const HttpHead &head) const
+{
+    const HeaderNames &names = m_context.adapter.headers();
+    const bool isRun = !reportsNotExecuted(names, head) && !guaranteesNotRun(head.status);
+    return isRun && head.status < 500 && isAuthenticResponse(names, head, m_request.attemptId);
+}
+
 void CallForwarding::handleBody(std::string &body)
 {
     const HttpHead &head = m_exchange->head();
-    const bool isRelayed = head.status < 300 && isAuthenticResponse(m_context.adapter.headers(), head, m_request.attemptId);
+    const bool isRelayed = isResult(head);
     const bool isBuffered = m_request.route->kind != CallKind::Stream && m_bufferedBody.size() + body.size() <= maxBufferedResponseBytes;
     if (!m_isRelaying && (isBuffered || !isRelayed)) {
-        if (m_bufferedBody.size() < maxBufferedResponseBytes) {
-            m_bufferedBody += body;
+        if (m_bufferedBody.size() + body.size() > maxBufferedResponseBytes) {
+            return handleFailure({"no answer, and without end", true, false, true});
         }
+        m_bufferedBody += body;
         body.clear();
         return;
     }
@@ -217,8 +227,7 @@
         ++m_attempts;
         return retryOrEnd("not executed", false, head.status == 503 || head.status == 429);
     }
-    const bool isAuthenticResult = head.status < 500 && isAuthenticResponse(names, head, m_request.attemptId);
-    if (isAuthenticResult && !guaranteesNotRun(head.status)) {
+    if (isResult(head)) {
         if (Target *target = findTarget(m_context.fleet, m_target)) {
             recordSuccess(*target, m_sentAt);
         }
--- a/src/relay/placement_controller.cpp
+++ b/src/relay/placement_controller.cpp
@@ -46,7 +46,7 @@
     std::set<ServiceName> stableServices{}; ///< services whose list of engines was complete once
     std::unique_ptr<Timer> tick{};
     std::map<TargetStart, PendingOrder> pending{};
-    std::map<TargetStart, TimePoint> refusedAt{};         ///< when an engine last refused an order or did not answer it
+    std::map<TargetStart, TimePoint> refusedAt{};      ///< when an engine last refused an order or did not answer it
     std::map<ServiceName, std::size_t> engineCounts{}; ///< number of engines at the last check
     std::map<ServiceName, TimePoint> lastGrownAt{};    ///< when the number of engines last grew
     TimePoint leadingSince{};                          ///< when this entry became the leader; zero: it is not
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -47,10 +47,10 @@
     std::map<std::string, TimePoint> removals{}; ///< keys of targets to be removed, and when
     TimePoint storeRecoveredAt{};                ///< when the store last recovered; zero: it was never lost
     TimePoint storeLostAt{};                     ///< when the store was last lost
-    bool isStoreUnreachable = false;          ///< by this entry and by all others that it knows of
-    bool isReachedByOthers = false;           ///< another entry reaches the store, as last reported
-    bool hadCompleteList = false;    ///< before the store was last lost; targets whose rows expired since are kept for expiredEntryGrace
-    std::set<std::string> copying{}; ///< tables of which a copy was requested from a peer
+    bool isStoreUnreachable = false;             ///< by this entry and by all others that it knows of
+    bool isReachedByOthers = false;              ///< another entry reaches the store, as last reported
+    bool hadCompleteList = false;                ///< before the store was last lost; targets whose rows expired since are kept for expiredEntryGrace
+    std::set<std::string> copying{};             ///< tables of which a copy was requested from a peer
     EncodedCopy lastConfigurationCopy{};
     EncodedCopy lastTargetsCopy{};
     TimePoint behindSince{};      ///< since when another entry has newer rows than this one; zero: none has
@@ -85,8 +85,8 @@
         d->handlers.onRoutes();
     };
     onConfiguration.onStoreReachable = [](bool) {};
-    d->configuration = std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), context.settings.storeWatch,
-                                                      std::move(onConfiguration));
+    d->configuration =
+        std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), context.settings.storeWatch, std::move(onConfiguration));
 
     TableWatcher::Handlers onTargets;
     onTargets.onRow = [this](const Row &row) {
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -396,9 +396,10 @@
     if (m_isStream) {
         return handleEvents(body);
     }
-    if (m_bufferedBody.size() < maxBufferedResponseBytes) {
-        m_bufferedBody += body;
+    if (m_bufferedBody.size() + body.size() > maxBufferedResponseBytes) {
+        return handleFailure({"no answer, and without end", true, false, true});
     }
+    m_bufferedBody += body;
     body.clear();
 }
 
@@ -407,11 +408,16 @@
 {
     std::size_t used = 0;
     StreamEvent event;
-    while (!m_isEventMissing && parseEvent(std::string_view(body).substr(used), event) == ParseResult::Complete) {
+    ParseResult result = parseEvent(body, event);
+    while (!m_isEventMissing && result == ParseResult::Complete) {
         used += event.bytes.size();
         relayEvent(event);
+        result = parseEvent(std::string_view(body).substr(used), event);
     }
     body.erase(0, used);
+    if (!m_isEventMissing && result == ParseResult::TooLarge) {
+        return handleFailure({"event without end", true, false, true});
+    }
     if (m_isEventMissing) {
         return retryOrEnd("event missing", true);
     }
--- a/src/relay/table_watcher.cpp
+++ b/src/relay/table_watcher.cpp
@@ -246,7 +246,8 @@
     // A recovered store answers a watch only at the next change, but its recovery has to be noticed at once: for Registry's
     // expiredEntryGrace after it, removals are taken for rows that expired during the outage, and later ones must not be.
     const milliseconds thisWait = failures > 0 ? milliseconds(0) : wait;
-    HttpClientRequest request = isWatching ? context.adapter.watchRowsRequest(table, revision, thisWait) : context.adapter.readRowsRequest({table, readFrom, {}});
+    HttpClientRequest request =
+        isWatching ? context.adapter.watchRowsRequest(table, revision, thisWait) : context.adapter.readRowsRequest({table, readFrom, {}});
     request.timeout = isWatching && failures == 0 ? thisWait + watchMargin : readTimeout;
     call = client.fetch(store, std::move(request), [this](const HttpResult &result) {
         handleResponse(result);
--- a/src/relay/target_exchange.cpp
+++ b/src/relay/target_exchange.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds defaultKeepAliveTimeout{4000};   ///< for targets that don't send a Keep-Alive timeout
 constexpr milliseconds keepAliveMargin{1000};           ///< targets count in whole seconds, starting before the response arrives here
 constexpr milliseconds sweepInterval{500};              ///< interval of closing expired idle connections
+constexpr int maxInterimResponses = 16;                 ///< before the response itself
+constexpr std::size_t maxSkippedBytes = 1 << 20;        ///< of responses to earlier requests
 constexpr std::size_t maxResponseHeadBytes = 32 * 1024; ///< twice the default limit for callers' heads
 
 struct IdleConnection {
@@ -135,6 +137,8 @@
     BodyReader bodyReader;
     std::string body; ///< decoded body bytes that the handler has not consumed
     EventBoundary eventBoundary;
+    int interimResponses = 0;
+    std::size_t skippedBytes = 0;
     bool isReused = false;
     bool hasHead = false;
     bool isOver = false;
@@ -263,6 +267,10 @@
         return false;
     }
     if (head.status < 200) {
+        if (++interimResponses > maxInterimResponses) {
+            fail(self, "interim responses without end", true);
+            return false;
+        }
         return !input.empty();
     }
     bodyReader = plan.reader;
@@ -304,6 +312,10 @@
             return fail(self, "malformed body", true);
         }
         if (isSkippingBody) {
+            skippedBytes += used;
+            if (skippedBytes > maxSkippedBytes) {
+                return fail(self, "another request's answer without end", true);
+            }
             body.clear();
             if (!bodyReader.isComplete) {
                 return;
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,7 +6,7 @@
 Without --seeds: seed 1 and all seeds that failed before.
 
 Each seed determines a series of faults, which may overlap: loopback proxies delay, reset or block the connections between
-relays, store and targets in one or both directions; processes are stopped, paused, killed and restarted by signals; the
+relays, store and targets in one or both directions; the address of an engine goes to another one; processes are stopped, paused, killed and restarted by signals; the
 configuration changes. Callers send requests all the time, on the same connection until it breaks.
 
 Checked, as observed by callers and targets:
@@ -437,6 +437,34 @@
         self.log_line("configuration")
         await self.configure()
 
+    async def cut_from_store(self):
+        """The store falls silent for one relay alone, and the configuration changes meanwhile."""
+        index = self.random.randrange(len(self.relays))
+        proxy = self.proxies[f"store-{index}"]
+        self.log_line(f"store silent for relay-{index}, and a configuration")
+        proxy.set_mode("silent")
+        await asyncio.sleep(0.2)
+        await self.configure()
+        await asyncio.sleep(self.random.uniform(2.0, 5.5))
+        proxy.set_mode("pass")
+
+    async def reuse_address(self):
+        """An engine is lost, and another engine answers at its address while the list still names the lost one."""
+        names = [name for name in self.proxies if name.startswith("engine")]
+        lost, owner = (self.proxies[name] for name in self.random.sample(names, 2))
+        before, lost.target = lost.target, owner.target
+        if before is None or owner.target is None:
+            lost.target = before
+            return
+        self.log_line(f"the address of {lost.name} belongs to {owner.name}")
+        lost.set_mode("reset")  # connections to the lost engine end
+        lost.set_mode("pass")
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        if lost.target == owner.target:
+            lost.target = before
+            lost.set_mode("reset")
+            lost.set_mode("pass")
+
     async def send_sighup(self):
         relay = self.random.choice(self.relays)
         self.log_line(f"SIGHUP {relay.name}")
@@ -445,6 +473,7 @@
     async def run_fault(self):
         self.counts["faults"] += 1
         faults = [self.disturb_proxy] * 5 + [self.pause] * 2 + [self.restart_relay] * 2 + [self.restart_host] * 2 + [self.change_configuration, self.send_sighup]
+        faults += [self.cut_from_store, self.reuse_address]
         try:
             await self.random.choice(faults)()
         except (OSError, EOFError) as error:
--- a/tests/store_path.cpp
+++ b/tests/store_path.cpp
@@ -8,10 +8,9 @@
 StorePath::StorePath(EventLoop &loop, const Address &store)
     : m_loop(loop)
     , m_store(store)
-    , m_listener(loop,
-                 [this](int socket) {
-                     accept(socket);
-                 })
+    , m_listener(loop, [this](int socket) {
+        accept(socket);
+    })
 {
     Error error;
     const bool isListening = runCatching(
