The time of contact with the store follows the deployment's bound, not the shortest one

Cause: the watch of the targets was answered every 0.6 s on every deployment, which a bound of 2 s asks for.

Change: interval and silence are worked out from target-drain-time, within which an entry must know that a target leaves (2 to 5 s on the deployments at hand, the same as for a configuration): 0.6 and 1.2 s for 2 s as before, 1.5 and 2.1 s for 5 s.

RelayStoreSilenceTest checks the limits for several bounds.

--- a/src/policy/table_source.cpp
+++ b/src/policy/table_source.cpp
@@ -96,9 +96,19 @@
     return !isAggregator(exchange) && hasRecentDigest(exchange, now) && !isStandby;
 }
 
-bool isStoreSilent(const StoreContact &contact, TimePoint now)
+ContactLimits contactLimits(milliseconds tableBound)
 {
-    return now - std::max(contact.askedAt, contact.answeredAt) > maxStoreSilence;
+    constexpr milliseconds minBound{2000};
+    constexpr milliseconds maxBound{10000};
+    // The pause between two watches, and the answer of a store that is sixty times slower than usual.
+    constexpr milliseconds answerTime{600};
+    const milliseconds interval = std::clamp(tableBound, minBound, maxBound) * 3 / 10;
+    return {interval, interval + answerTime};
+}
+
+bool isStoreSilent(const StoreContact &contact, milliseconds maxSilence, TimePoint now)
+{
+    return now - std::max(contact.askedAt, contact.answeredAt) > maxSilence;
 }
 
 void recordSource(MemberPatience &patience, int entries, double turn, TimePoint now)
--- a/src/policy/table_source.h
+++ b/src/policy/table_source.h
@@ -30,15 +30,17 @@
     TimePoint answeredAt{}; ///< when the store last answered it
 };
 
-/// A watch of the targets is answered after this time, also without changes, so that a store that is silent is noticed: the rows of
-/// targets may not change for long.
-constexpr milliseconds contactInterval{600};
-/// A store that has not answered for this long counts as silent for the entry: an interval, the pause between two watches, and the answer
-/// of a store that is sixty times slower than usual. Entries that copy from it have to notice and to read a change themselves before it
-/// must be in force, which may be 2 s after it was made.
-constexpr milliseconds maxStoreSilence{1200};
+/// How a silent store is told from one without news.
+struct ContactLimits {
+    milliseconds interval{0};   ///< a watch of the targets is answered after this time, also without changes, which are rare
+    milliseconds maxSilence{0}; ///< a store that has not answered for this long counts as silent
+};
+
+/// The limits if a change must be in force within `tableBound` after it was made, taken as 2 to 10 s. Entries that copy from a reader have to
+/// notice its silence and to read a change themselves before. Each shorter interval costs calls to the store.
+ContactLimits contactLimits(milliseconds tableBound);
 /// Whether the store is silent for an entry that reads it. Others must not rely on its tables then.
-bool isStoreSilent(const StoreContact &contact, TimePoint now);
+bool isStoreSilent(const StoreContact &contact, milliseconds maxSilence, TimePoint now);
 
 /// When a member stops to leave reading to its aggregator and the standby, if neither of them reaches the store.
 struct MemberPatience {
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -41,6 +41,7 @@
     RelayContext &context;
     HttpClient &client;
     Handlers handlers;
+    ContactLimits limits = contactLimits(context.settings.targetDrainTime);
     std::unique_ptr<TableWatcher> configuration{};
     std::unique_ptr<TableWatcher> targets{};
     std::unique_ptr<Timer> removalTimer{};
@@ -102,8 +103,8 @@
     onTargets.onStoreReachable = [this](bool isReachable) {
         d->recordOwnPath(isReachable);
     };
-    d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(), std::min(contactInterval, context.settings.storeWatch),
-                                                std::move(onTargets));
+    d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(),
+                                                std::min(d->limits.interval, context.settings.storeWatch), std::move(onTargets));
     d->removalTimer = std::make_unique<Timer>(context.loop, [this] {
         d->removeDueTargets();
     });
@@ -203,7 +204,7 @@
     const StoreContact &first = targets->contact();
     const StoreContact &second = configuration->contact();
     const StoreContact both{std::max(first.askedAt, second.askedAt), std::max(first.answeredAt, second.answeredAt)};
-    return targets->isQuerying() && isStoreSilent(both, context.clock.now());
+    return targets->isQuerying() && isStoreSilent(both, limits.maxSilence, context.clock.now());
 }
 
 /// This entry has lost the store, or reaches it again. While another entry reaches it, only the path is lost: no rows expire for want of
--- a/tests/relay_store_silence_test.cpp
+++ b/tests/relay_store_silence_test.cpp
@@ -141,16 +141,20 @@
     MemberPatience patience;
     recordSource(patience, others, lastTurn, now);
     const auto waits = std::chrono::duration_cast<milliseconds>(patience.readsAt - now);
-    BOOST_TEST(maxStoreSilence + messagesUntilKnown * exchangeInterval + waits < configurationBound);
+    BOOST_TEST(contactLimits(configurationBound).maxSilence + messagesUntilKnown * exchangeInterval + waits < configurationBound);
 }
 
 BOOST_AUTO_TEST_CASE(aStoreIsSilentOnceItHasNotAnsweredForTooLong)
 {
     const TimePoint asked{std::chrono::hours(1)};
-    BOOST_TEST(!isStoreSilent({asked, {}}, asked + maxStoreSilence));
-    BOOST_TEST(isStoreSilent({asked, {}}, asked + maxStoreSilence + milliseconds(1)));
-    BOOST_TEST(!isStoreSilent({asked, asked + maxStoreSilence}, asked + 2 * maxStoreSilence));
-    BOOST_TEST(contactInterval < maxStoreSilence);
+    for (const milliseconds bound : {milliseconds(0), configurationBound, milliseconds(5000), milliseconds(60000)}) {
+        const ContactLimits limits = contactLimits(bound);
+        BOOST_TEST(!isStoreSilent({asked, {}}, limits.maxSilence, asked + limits.maxSilence));
+        BOOST_TEST(isStoreSilent({asked, {}}, limits.maxSilence, asked + limits.maxSilence + milliseconds(1)));
+        BOOST_TEST(!isStoreSilent({asked, asked + limits.maxSilence}, limits.maxSilence, asked + 2 * limits.maxSilence));
+        BOOST_TEST(limits.interval < limits.maxSilence);
+        BOOST_TEST(limits.maxSilence < std::max(bound, configurationBound));
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
