--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -99,7 +99,7 @@
     return !isStated || startedAtMs == target.registered.startedAtMs;
 }
 
-/// The owner of an address that comes before all others by `isBefore`.
+/// Of the targets registered at an address, the one whose start time sorts first by `isBefore`; null if there is none.
 template<typename Compare>
 static Target *findOwner(Fleet &fleet, const Address &address, Compare isBefore)
 {
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -37,8 +37,8 @@
     {
         return from <= other.from && other.to <= to;
     }
-    /// The intersection with the layers of a model that has `layers` of them, because engines may report a wrong range. Empty, and
-    /// still within the model, if they don't intersect.
+    /// This range clipped to [0, layers), as an engine may report layers that its model does not have. The result can always be used
+    /// as an index range; it is empty if nothing is left.
     LayerRange within(int layers) const
     {
         const int first = std::clamp(from, 0, layers);
@@ -112,7 +112,7 @@
 struct Fleet {
     std::map<TargetId, Target> targets;               ///< by id
     std::map<TargetId, RemovedTarget> removedTargets; ///< by id, those removed within removedTargetLifetime
-    /// Services and addresses of all targets registered so far, removed ones too; bounded by the number of instances that ever existed.
+    /// Service and address of every target registered since the start, including removed ones. Grows with the number of instances ever seen.
     std::set<std::pair<ServiceName, Address>> knownAddresses;
 };
 
@@ -130,15 +130,14 @@
 Target *findTarget(Fleet &fleet, const TargetId &id);
 const Target *findTarget(const Fleet &fleet, const TargetId &id);
 TargetStart startOf(const Target &target);
-/// The target if this is its latest start; null if it was removed or has started again.
+/// The target, if `start` is the one that the registry lists; null if the target was removed or has restarted since.
 Target *findStart(Fleet &fleet, const TargetStart &start);
-/// Whether a statement comes from the registered start of the target. Another process may answer at its address: a later start of it, or
-/// a target that got the address after it had ended. `startedAtMs` is the start of the one that answered; 0: not stated.
+/// Whether the process that answered at the target's address is the registered one. It may be a later start of the target, or another
+/// target that was given the address. `startedAtMs`: start time that the process stated; 0 if it stated none, which counts as the target.
 bool isFromTarget(const Target &target, std::uint64_t startedAtMs);
-/// The target at an address; null if none is registered there. Of several, only the last started can be running: it got the address
-/// after the others had ended.
+/// The target registered at an address, or the last started of several, which is the only one that can still run; null if none.
 Target *findLastOwner(Fleet &fleet, const Address &address);
-/// The first started of the targets that are registered at an address. Requests that wait there were sent to it.
+/// The target registered at an address, or the first started of several: requests that are stalled there were sent to it. Null if none.
 Target *findFirstOwner(Fleet &fleet, const Address &address);
 /// Open requests of this entry and, as last reported, of the other entries.
 int totalOpenRequests(const Target &target);
--- a/src/policy/table_source.h
+++ b/src/policy/table_source.h
@@ -36,8 +36,9 @@
     milliseconds maxSilence{0}; ///< a store that has not answered for this long counts as silent
 };
 
-/// The limits if a change must be in force within `tableBound` after it was made, taken as 2 to 10 s. Entries that copy from a reader have to
-/// notice its silence and to read a change themselves before. Each shorter interval costs calls to the store.
+/// Limits for a deployment in which every entry must apply a change of the tables within `tableBound`. Bounds below 2 s and above 10 s are
+/// treated as 2 s and 10 s. An entry that copies from a reader must detect the reader's silent store, and read the change itself,
+/// within that time. A shorter interval means more calls to the store.
 ContactLimits contactLimits(milliseconds tableBound);
 /// Whether the store is silent for an entry that reads it. Others must not rely on its tables then.
 bool isStoreSilent(const StoreContact &contact, milliseconds maxSilence, TimePoint now);
@@ -51,7 +52,7 @@
 constexpr milliseconds standbyTime{350};
 constexpr milliseconds memberTurnTime{50}; ///< members read one after the other, with this time for each known entry
 
-/// The entry has a source. `entries` is the number of the others, `turn` a random number in [0, 1).
+/// Starts the wait anew, as there is an entry to copy from. `entries`: number of other entries; `turn`: random, in [0, 1), spreads the members.
 void recordSource(MemberPatience &patience, int entries, double turn, TimePoint now);
 
 /// What an entry does about the tables at present.
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -207,8 +207,8 @@
     return targets->isQuerying() && isStoreSilent(both, limits.maxSilence, context.clock.now());
 }
 
-/// This entry has lost the store, or reaches it again. While another entry reaches it, only the path is lost: no rows expire for want of
-/// the store, and those that are removed are gone.
+/// Records that this entry's own calls to the store began to fail, or work again. As long as another entry reaches the store, only the
+/// path is broken: targets can still renew their rows, so a missing row was really removed.
 void Registry::Private::recordOwnPath(bool isReachable)
 {
     const bool isChange = isReachable ? isStoreUnreachable : !isStoreUnreachable && !isReachedByOthers;
@@ -217,8 +217,8 @@
     }
 }
 
-/// An entry that does not reach the store learns from the others that none of them does, and when one does again. Rows that are
-/// missing after an outage are treated as by an entry that queried it all the while.
+/// Decides from the other entries' reports whether the store is down for everyone, which starts and ends the grace for expired rows
+/// (expiredEntryGrace). Needed at entries that don't query the store, or can't.
 void Registry::Private::updateStoreReachability(const PeersView &others)
 {
     isReachedByOthers = others.entries.isStoreReached;
--- a/src/relay/table_watcher.h
+++ b/src/relay/table_watcher.h
@@ -41,7 +41,7 @@
     bool isRead() const;
     /// When the store last answered, or a peer that reaches the store last reported that it has no newer change.
     TimePoint confirmedAt() const;
-    /// When this watcher last began to query the store, and when the store last answered it.
+    /// When calls to the store last began after a time of copying, and when the last answer arrived.
     const StoreContact &contact() const;
     /// Whether the store is unreachable.
     bool isStoreLost() const;
@@ -49,7 +49,7 @@
     std::uint64_t lastChange() const;
     /// Whether this process watches the table itself, not through a peer.
     bool isWatching() const;
-    /// Whether it queries the store, or is about to do so again, and does not wait for a peer.
+    /// Whether a call to the store is open or due. False while the table is copied from another relay instead.
     bool isQuerying() const;
     /// Rows changed after a revision, for a peer; all rows if it is 0 or older than the first read of this watcher.
     TableCopy copyRows(std::uint64_t after) const;
