Bytes without end in answer to probes, orders and calls to the store are bounded too; trailers of callers follow their limit for a head

Callers would have seen: an engine that answers a probe with interim responses, a head or trailer lines without end is read until the timeout, 0.4 to 0.8 s at a time, into memory without a bound for a head. Cause: the HTTP client bounded bodies alone.

Tests: HttpClientTest/bytesWithoutEndFailTheRequestBeforeItsTimeout failed before in four of six kinds (interim responses, one field, fields, trailer lines). RelayEndlessBytesTest has four more kinds (one field, fields, noise, a chunk's extension), which held before, and streams over engines.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -24,6 +24,9 @@
     Address address;                  ///< address of the server
     bool isFresh = true;              ///< the current request is the first on this connection
     bool hasWritten = false;          ///< a byte of the current request was written to the socket
+    std::size_t receivedBytes = 0;    ///< since the start of the current request, with heads and framing
+    std::size_t maxReceivedBytes = 0; ///< with more bytes, onExcess is called
+    std::function<void()> onExcess;   ///< called once; must not free the connection
 
     ~HttpConnection()
     {
@@ -32,7 +35,8 @@
 };
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
 
-constexpr std::size_t maxIdleConnections = 32; ///< kept open for each address
+constexpr std::size_t maxIdleConnections = 32;  ///< kept open for each address
+constexpr std::size_t maxHeadBytes = 64 * 1024; ///< of a response, and of its trailer
 
 struct HttpCallState;
 
@@ -59,6 +63,7 @@
         available.pop_back();
         connection->isFresh = false;
         connection->hasWritten = false;
+        connection->receivedBytes = 0;
         return connection;
     }
     auto connection = std::make_shared<HttpConnection>();
@@ -70,6 +75,15 @@
         }
     };
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw)), onOutput, connection.get());
+    const auto onInput = [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+        auto *self = static_cast<HttpConnection *>(arg);
+        self->receivedBytes += info->n_added;
+        if (self->receivedBytes > self->maxReceivedBytes && self->onExcess) {
+            std::exchange(self->onExcess, nullptr)();
+        }
+    };
+    evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection->raw)), onInput, connection.get());
+    evhttp_connection_set_max_headers_size(connection->raw, maxHeadBytes);
     return connection;
 }
 
@@ -286,6 +300,18 @@
     state->handlers = std::move(handlers);
     state->maxBodyBytes = request.maxBodyBytes;
     state->connection = d->acquireConnection(address, request.useFreshConnection);
+    // A body of single-byte chunks has several times its own length. Interim responses have no body at all.
+    constexpr std::size_t framingFactor = 8;
+    const bool isBounded = request.maxBodyBytes < (SIZE_MAX - maxHeadBytes) / framingFactor;
+    state->connection->maxReceivedBytes = isBounded ? request.maxBodyBytes * framingFactor + maxHeadBytes : SIZE_MAX;
+    state->connection->onExcess = [weak = std::weak_ptr(call->d), &loop = d->loop] {
+        loop.defer([weak] {
+            const auto self = weak.lock();
+            if (self && !self->isOver) {
+                self->failWith("answer without end", false);
+            }
+        });
+    };
     state->raw = evhttp_request_new(HttpCallState::onComplete, state);
     evhttp_request_set_header_cb(state->raw, [](evhttp_request *, void *arg) {
         const auto self = static_cast<HttpCallState *>(arg)->shared_from_this();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -23,7 +23,7 @@
     std::string body;                   ///< complete body
     milliseconds timeout{5000};         ///< longest wait until the response is complete
     bool useFreshConnection = false;    ///< opens a new connection instead of reusing an idle one; see HttpFailure::mayHaveBeenSent
-    std::size_t maxBodyBytes = 8 << 20; ///< a longer response body fails the request
+    std::size_t maxBodyBytes = 8 << 20; ///< a longer response body fails the request, and so do eight times as many bytes of any kind
 };
 
 /// Why a request received no response or an incomplete one.
--- a/src/policy/table_source.h
+++ b/src/policy/table_source.h
@@ -48,8 +48,8 @@
     TimePoint readsAt{}; ///< from then on it reads by itself, unless it has a source
 };
 
-/// Time for the standby to read, and for what it has read to reach all members.
-constexpr milliseconds standbyTime{350};
+/// Time for the standby to read, and for three messages: from it to the aggregator, and of the aggregator, once it has copied, to the members.
+constexpr milliseconds standbyTime = 3 * exchangeInterval + milliseconds(50);
 constexpr milliseconds memberTurnTime{50}; ///< members read one after the other, with this time for each known entry
 
 /// Starts the wait anew, as there is an entry to copy from. `entries`: number of other entries; `turn`: random, in [0, 1), spreads the members.
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -154,6 +154,7 @@
     }
     connection->input().erase(0, head.text.size());
     bodyReader = plan.reader;
+    bodyReader.trailerBytesLeft = owner->limits.maxHeaderBytes;
     if (bodyReader.isComplete) {
         return dispatchRequest();
     }
--- a/src/relay/http_message.cpp
+++ b/src/relay/http_message.cpp
@@ -13,7 +13,6 @@
 // [SECTION] Heads
 
 constexpr std::size_t maxChunkLineBytes = 256;  ///< chunk size line with extensions, or trailer line; longer lines are rejected
-constexpr std::size_t maxTrailerBytes = 8192;   ///< of all trailer lines, which are not used
 constexpr std::size_t maxEventBytes = 1u << 20; ///< more bytes than this without the end of an event are rejected
 
 static bool isTokenChar(char c)
@@ -277,8 +276,8 @@
         return 0;
     }
     reader.isComplete = end == 0;
-    reader.trailerBytes += end;
-    reader.isMalformed = reader.trailerBytes > maxTrailerBytes;
+    reader.isMalformed = end > reader.trailerBytesLeft;
+    reader.trailerBytesLeft -= std::min(end, reader.trailerBytesLeft);
     return end + 2;
 }
 
--- a/src/relay/http_message.h
+++ b/src/relay/http_message.h
@@ -75,12 +75,12 @@
 /// State of reading one body.
 struct BodyReader {
     BodyFraming framing = BodyFraming::None;
-    std::uint64_t remaining = 0;  ///< bytes still to read of the body, or of the current chunk
-    bool isInChunk = false;       ///< chunked: `remaining` bytes of data and a line end follow
-    bool isInTrailer = false;     ///< chunked: the last chunk was read, trailer lines follow
-    std::size_t trailerBytes = 0; ///< chunked: bytes of trailer lines read so far, up to 8 KiB
-    bool isComplete = false;      ///< the entire body was read
-    bool isMalformed = false;     ///< the framing is invalid; the connection can't be used any more
+    std::uint64_t remaining = 0;              ///< bytes still to read of the body, or of the current chunk
+    bool isInChunk = false;                   ///< chunked: `remaining` bytes of data and a line end follow
+    bool isInTrailer = false;                 ///< chunked: the last chunk was read, trailer lines follow
+    std::size_t trailerBytesLeft = 32 * 1024; ///< chunked: bytes that the trailer lines may still have; the owner sets its limit for a head
+    bool isComplete = false;                  ///< the entire body was read
+    bool isMalformed = false;                 ///< the framing is invalid; the connection can't be used any more
 };
 
 /// Body framing derived from a head.
--- a/src/relay/target_exchange.cpp
+++ b/src/relay/target_exchange.cpp
@@ -274,6 +274,7 @@
         return !input.empty();
     }
     bodyReader = plan.reader;
+    bodyReader.trailerBytesLeft = maxResponseHeadBytes;
     const std::string_view id = head.find(request.idField);
     // A target may have sent a second response to an earlier request on this connection. Its id differs from the expected one.
     isSkippingBody = !request.id.empty() && !id.empty() && id != request.id;
