Tables carry their age; who is a source, who asks the store and whether 401 and 404 are final is decided by it

Cause: an entry went by what it had heard at some time, not by when the store was last known to have held nothing newer. The same class was left: ages add up over reader, aggregator and member; a source counted though no copy arrived; a member's turn grew with the number of entries; 401 and 404 were final for 3 s.

Fix: reports, digests and summaries carry the age of their sender's tables (wire version 6, two bytes). A source whose tables are older than the bound less 400 ms is none, and an entry with such tables asks the store whatever its source and turn are; younger than the bound, 401 and 404 are final. An aggregator that has just taken over names its own changes, as its age is theirs.

The signature of chooseTableAccess() changed: table_source has its two checks as before and one more. Soak: series of configurations, and every relay ends with the newest one.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -1,6 +1,8 @@
 // parsley-lab: experiments with the real policy code in simulated time.
 //
 //     parsley-lab scale --sizes=30x5,100x5,437x5,874x5
+//     parsley-lab freshness --sizes=8x2,40x2 --schedules=100 --bound_ms=2000
+#include "lab/freshness.h"
 #include "lab/scale.h"
 
 #include <absl/flags/flag.h>
@@ -9,6 +11,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <string>
 #include <vector>
@@ -16,7 +19,9 @@
 ABSL_FLAG(std::vector<std::string>, sizes, std::vector<std::string>({"30x5", "100x5", "300x5", "437x5", "874x5"}), "fleets, as entries x data centres: 437x5");
 ABSL_FLAG(double, engines_per_entry, 1.3, "engines for each entry");
 ABSL_FLAG(double, loss, 0.001, "share of datagrams that are lost");
-ABSL_FLAG(unsigned, seed, 1, "seed of the network and of the loads");
+ABSL_FLAG(unsigned, seed, 1, "seed of the network and of the loads; freshness: of the first schedule of faults");
+ABSL_FLAG(unsigned, schedules, 100, "freshness: schedules of faults for each size, with consecutive seeds");
+ABSL_FLAG(int, bound_ms, 2000, "freshness: time within which every entry in touch must have a change of the tables, in milliseconds");
 ABSL_FLAG(std::string, format, "table", "table, json (one object a line) or csv");
 
 using namespace Parsleytrail::Lab;
@@ -106,16 +111,63 @@
     return 0;
 }
 
+/// Plays schedules of faults and prints each one in which an entry in touch lacked a change that was due. Returns 1 if there was one.
+int runFreshness()
+{
+    constexpr int minBoundMs = 500;
+    const int boundMs = absl::GetFlag(FLAGS_bound_ms);
+    if (boundMs < minBoundMs) {
+        std::fprintf(stderr, "parsley-lab: --bound_ms must be at least %d\n", minBoundMs);
+        return 2;
+    }
+    std::uint64_t findings = 0;
+    for (const std::string &text : absl::GetFlag(FLAGS_sizes)) {
+        FreshnessOptions options;
+        options.bound = std::chrono::milliseconds(boundMs);
+        if (!parseSize(text, options.size)) {
+            std::fprintf(stderr, "parsley-lab: not a size: %s; sizes are given as entries x data centres, as 437x5\n", text.c_str());
+            return 2;
+        }
+        std::uint64_t found = 0;
+        std::uint64_t calls = 0;
+        std::chrono::milliseconds slowest{0};
+        const unsigned first = absl::GetFlag(FLAGS_seed);
+        const unsigned schedules = absl::GetFlag(FLAGS_schedules);
+        for (unsigned seed = first; seed < first + schedules; ++seed) {
+            const FreshnessFigures figures = measureFreshness(options, seed);
+            const bool isFinding = figures.late + figures.older > 0;
+            found += isFinding ? 1 : 0;
+            calls += figures.calls;
+            slowest = std::max(slowest, figures.slowest);
+            if (isFinding) {
+                std::printf("%s seed %u: %s; went back %llu times\n", text.c_str(), seed, figures.firstLate.c_str(),
+                            static_cast<unsigned long long>(figures.older));
+                std::fflush(stdout);
+            }
+        }
+        std::printf("%s: %u schedules, %llu with findings, slowest %lld ms, %llu calls to the store\n", text.c_str(), schedules,
+                    static_cast<unsigned long long>(found), static_cast<long long>(slowest.count()), static_cast<unsigned long long>(calls));
+        std::fflush(stdout);
+        findings += found;
+    }
+    return findings > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage(
-        "experiments with the real policy code in simulated time\n\n  parsley-lab scale   what entries send and ask, by the size of the fleet");
+        "experiments with the real policy code in simulated time\n\n  parsley-lab scale   what entries send and ask, by the size of the fleet\n"
+        "  parsley-lab freshness   how old tables get while entries lose the store and each other");
     const std::vector<char *> arguments = absl::ParseCommandLine(argc, argv);
-    if (arguments.size() != 2 || std::string(arguments[1]) != "scale") {
-        std::fprintf(stderr, "parsley-lab: give one experiment: scale (--help tells more)\n");
-        return 2;
+    const std::string experiment = arguments.size() == 2 ? arguments[1] : "";
+    if (experiment == "scale") {
+        return runScale();
+    }
+    if (experiment == "freshness") {
+        return runFreshness();
     }
-    return runScale();
+    std::fprintf(stderr, "parsley-lab: give one experiment: scale or freshness (--help tells more)\n");
+    return 2;
 }
--- a/lab/scale.cpp
+++ b/lab/scale.cpp
@@ -84,7 +84,7 @@
         const PeersView others = peersView(entry.exchange, now);
         const bool isComplete = tables.change > 0;
         const bool isLate = !isComplete && now - entry.exchange.startedAt >= maxCopyWait;
-        const TableAccess access = isLate ? TableAccess::Read : chooseTableAccess(others, isComplete, true);
+        const TableAccess access = isLate ? TableAccess::Read : chooseTableAccess(others, {isComplete, true, false});
         tables.isReading = access == TableAccess::Read;
         if (tables.isReading) {
             read(tables, now);
--- a/lab/simulated_fleet.cpp
+++ b/lab/simulated_fleet.cpp
@@ -46,6 +46,11 @@
     return m_entries.size();
 }
 
+std::size_t SimulatedFleet::indexOf(const std::string &host) const
+{
+    return m_byHost.at(host);
+}
+
 std::mt19937 &SimulatedFleet::random()
 {
     return m_random;
--- a/lab/simulated_fleet.h
+++ b/lab/simulated_fleet.h
@@ -54,6 +54,8 @@
 
     SimulatedEntry &at(std::size_t index);
     std::size_t size() const;
+    /// Index of the entry at a host.
+    std::size_t indexOf(const std::string &host) const;
     std::mt19937 &random();
     TimePoint now() const;
     NetworkFaults faults{};
--- a/src/policy/exchange_messages.cpp
+++ b/src/policy/exchange_messages.cpp
@@ -152,6 +152,7 @@
 {
     GroupDigest digest = makeDigest(exchange, exchange.self);
     digest.deputy = standbyAggregator(exchange);
+    digest.tablesAgeMs = ageForMessage(exchange.tablesProvenAt, now);
     // A member that this entry copies from has to go on reading.
     digest.isWatching = hasCurrentTables(exchange, now) && findTableSource(exchange, now).host != report.sender.host;
     digest.aggregators = nextAggregators(exchange, maxDigestAggregators);
@@ -163,6 +164,7 @@
     }
     if (isTakingOver(exchange, now)) {
         digest.others = exchange.digest.last.others;
+        addTableNews(digest.others, exchange.ownReport); // the stated age is that of the own tables
         digest.loads = listLoads(includedLoads(exchange, exchange.digestLoads, digest), maxReportedLoads);
         return digest;
     }
@@ -181,6 +183,7 @@
     summary.incarnation = exchange.incarnation;
     summary.sequence = ++exchange.sequence;
     summary.group = groupView(exchange);
+    summary.tablesAgeMs = ageForMessage(exchange.tablesProvenAt, now);
     summary.aggregators = nextAggregators(exchange, maxSummaryAggregators);
     LoadTable loads;
     addLoads(loads, exchange.ownReport.loads);
@@ -198,9 +201,10 @@
     return summary;
 }
 
-EntryReport makeReport(LoadExchange &exchange)
+EntryReport makeReport(LoadExchange &exchange, TimePoint now)
 {
     EntryReport report = exchange.ownReport;
+    report.tablesAgeMs = ageForMessage(exchange.tablesProvenAt, now);
     report.sequence = ++exchange.sequence;
     if (!listsUsage(report.sequence, sendInterval(exchange))) {
         report.usage.clear();
--- a/src/policy/exchange_messages.h
+++ b/src/policy/exchange_messages.h
@@ -23,6 +23,6 @@
 /// What other groups are sent.
 GroupSummary makeSummary(LoadExchange &exchange, TimePoint now);
 /// What the aggregator is sent.
-EntryReport makeReport(LoadExchange &exchange);
+EntryReport makeReport(LoadExchange &exchange, TimePoint now);
 
 } // namespace Parsleytrail
--- a/src/policy/load_exchange.cpp
+++ b/src/policy/load_exchange.cpp
@@ -316,6 +316,7 @@
     const bool hasNews = state.configurationChange > exchange.ownReport.configurationChange || state.targetsChange > exchange.ownReport.targetsChange;
     exchange.isWatching = state.isWatching;
     exchange.isStoreFailing = state.isStoreFailing;
+    exchange.tablesProvenAt = state.tablesProvenAt;
     exchange.ownReport.sender = exchange.self;
     exchange.ownReport.sender.capacity = state.isDraining ? 0 : exchange.self.capacity;
     exchange.ownReport.incarnation = exchange.incarnation;
@@ -359,12 +360,12 @@
         return {};
     }
     if (!isAggregator(exchange)) {
-        return {{exchange.aggregator.host, makeReport(exchange)}};
+        return {{exchange.aggregator.host, makeReport(exchange, now)}};
     }
     ExchangeMessages messages;
     for (const std::string &seed : exchange.seeds) {
         if (isJoining(exchange, now) && seed != exchange.self.host) {
-            messages.push_back({seed, makeReport(exchange)});
+            messages.push_back({seed, makeReport(exchange, now)});
         }
     }
     std::set<std::string> hosts = isDue ? summaryReceivers(exchange, now) : std::set<std::string>();
@@ -453,6 +454,7 @@
     Received<EntryReport> &member = exchange.members[id];
     member.last = report;
     member.receivedAt = now;
+    member.provenAt = provenAtFromMessage(report.tablesAgeMs, now);
     takeUsage(exchange, member, now);
     addLoads(exchange.loads, report.loads);
     return {{report.sender.host, digestFor(exchange, report, now)}};
@@ -510,13 +512,13 @@
 
 /// Reports to the aggregator that a redirect named without waiting for the next tick, so that a new entry finds its group within
 /// a few round trips. Limited, as two full groups may redirect to each other until their next summaries.
-static ExchangeMessages reportAfterRedirect(LoadExchange &exchange)
+static ExchangeMessages reportAfterRedirect(LoadExchange &exchange, TimePoint now)
 {
     if (isAggregator(exchange) || exchange.redirectsSinceTick >= maxRedirectsPerTick) {
         return {};
     }
     ++exchange.redirectsSinceTick;
-    return {{exchange.aggregator.host, makeReport(exchange)}};
+    return {{exchange.aggregator.host, makeReport(exchange, now)}};
 }
 
 ExchangeMessages handleDigest(LoadExchange &exchange, const GroupDigest &digest, TimePoint now)
@@ -529,7 +531,7 @@
         // The response to a report sent to a seed while joining, or to a summary.
         dropGroupThatJoinedAnother(exchange, digest);
         handleNamedAggregator(exchange, digest.aggregator, now);
-        return reportAfterRedirect(exchange);
+        return reportAfterRedirect(exchange, now);
     }
     if (digest.sender.entry != exchange.aggregator.entry) {
         return {};
@@ -542,6 +544,7 @@
         applyLoads(exchange, digest);
         exchange.digest.last = digest;
         exchange.digest.receivedAt = now;
+        exchange.digest.provenAt = provenAtFromMessage(digest.tablesAgeMs, now);
         takeUsage(exchange, exchange.digest, now);
         exchange.lastResponseAt = now;
         recordHost(exchange, digest.sender.host, now);
@@ -552,7 +555,7 @@
         becomeAggregator(exchange, now);
     } else if (!isUnresponsive(exchange, digest.aggregator.host, now)) {
         followAggregator(exchange, digest.aggregator, now);
-        return reportAfterRedirect(exchange);
+        return reportAfterRedirect(exchange, now);
     }
     return {};
 }
@@ -579,7 +582,7 @@
     dropGroup(exchange, id);
     if (exchange.groups.size() < maxGroups) {
         Received<GroupSummary> &group = exchange.groups[id];
-        group = {summary, now, sentAt, usage};
+        group = {summary, now, sentAt, usage, provenAtFromMessage(summary.tablesAgeMs, now)};
         takeUsage(exchange, group, now);
         addLoads(exchange.loads, summary.loads);
     }
--- a/src/policy/load_exchange.h
+++ b/src/policy/load_exchange.h
@@ -18,6 +18,7 @@
 
 #include "base/clock.h"
 #include "policy/load_table.h"
+#include "policy/table_age.h"
 #include "policy/workspace_shares.h"
 
 #include <map>
@@ -75,6 +76,7 @@
     bool isStoreFailing = false;             ///< its own calls to the store fail
     std::uint64_t configurationChange = 0;   ///< newest change of the configuration table that it has
     std::uint64_t targetsChange = 0;         ///< newest change of the target table that it has
+    TimePoint tablesProvenAt{};              ///< see OwnTablesAge
     std::vector<EngineLoad> loads;           ///< targets at which it has load, or which it avoids
     std::vector<std::uint32_t> localTargets; ///< keys (loadKey()) of all targets of its data centre, ascending
     std::vector<TargetDemand> demands;       ///< targets that name limits; see policy/request_limits.h
@@ -95,6 +97,7 @@
     TimePoint receivedAt{}; ///< when it arrived
     TimePoint sentAt{};     ///< groups only: when a summary was last sent to it
     ReceivedUsage usage{};  ///< last list of workspaces, which may be that of an earlier message
+    TimePoint provenAt{};   ///< of the sender's tables; not credited for pauses of this process, as the tables age meanwhile
 };
 
 /// State of the exchange in one entry.
@@ -110,6 +113,8 @@
     EntryReport ownReport;                                    ///< report of this entry, without its sequence
     bool isWatching = false;                                  ///< see EntryState
     bool isStoreFailing = false;                              ///< see EntryState
+    TimePoint tablesProvenAt{};                               ///< see EntryState
+    milliseconds maxTablesAge{0};                             ///< tables of others that are older are not copied; zero: no limit
     bool isAppointed = false;                                 ///< another entry said that this one is to aggregate, or there is no other
     EntryRef aggregator;                                      ///< receives the reports; no id: this entry is an aggregator
     TimePoint lastResponseAt{};                               ///< when the aggregator last responded, or was selected
@@ -134,6 +139,7 @@
     std::string host;                      ///< empty: none
     std::uint64_t configurationChange = 0; ///< newest change of the configuration table that it is known to have
     std::uint64_t targetsChange = 0;       ///< newest change of the target table that it is known to have
+    TablesProof proof{};                   ///< of the tables that it has
 };
 
 /// All other entries together, as last reported to this one.
--- a/src/policy/load_table.cpp
+++ b/src/policy/load_table.cpp
@@ -80,6 +80,12 @@
     view.targets = newest(view.targets, other.targets);
 }
 
+void addTableNews(EntriesView &view, const EntryReport &report)
+{
+    view.configuration = newest(view.configuration, {report.configurationChange, report.sender.host});
+    view.targets = newest(view.targets, {report.targetsChange, report.sender.host});
+}
+
 void addEntry(EntriesView &view, const EntryReport &report)
 {
     const bool isStopping = report.sender.capacity == 0;
@@ -88,8 +94,7 @@
     one.isStoreReached = !report.isStoreLost;
     one.ordering = report.isOrdering && !isStopping ? report.sender.entry : EntryId();
     one.first = isStopping ? EntryId() : report.sender.entry;
-    one.configuration = {report.configurationChange, report.sender.host};
-    one.targets = {report.targetsChange, report.sender.host};
+    addTableNews(one, report);
     addView(view, one);
 }
 
--- a/src/policy/load_table.h
+++ b/src/policy/load_table.h
@@ -39,6 +39,8 @@
 /// selection of engines most.
 std::vector<EngineLoad> listLoads(const LoadTable &table, std::size_t limit);
 
+/// Adds the changes of the tables that an entry has to a view, and nothing else of it.
+void addTableNews(EntriesView &view, const EntryReport &report);
 /// Adds one entry to a view.
 void addEntry(EntriesView &view, const EntryReport &report);
 /// Adds the entries of another view.
--- a/src/policy/table_source.cpp
+++ b/src/policy/table_source.cpp
@@ -13,9 +13,10 @@
     return news.host == host ? news.change : 0;
 }
 
-static TableSource sourceAt(const std::string &host, const EntriesView &view)
+/// `provenAt`: of the tables of the entry that sent the view, which are not newer than the newest ones in it.
+static TableSource sourceAt(const std::string &host, const EntriesView &view, TimePoint provenAt)
 {
-    return {host, changeAt(host, view.configuration), changeAt(host, view.targets)};
+    return {host, changeAt(host, view.configuration), changeAt(host, view.targets), {provenAt, view.configuration.change, view.targets.change}};
 }
 
 static bool isReading(const LoadExchange &exchange)
@@ -26,63 +27,69 @@
 static TableSource sourceOfMember(const LoadExchange &exchange, TimePoint now)
 {
     const GroupDigest &digest = exchange.digest.last;
-    const bool isCurrent = hasRecentDigest(exchange, now) && digest.sender.entry == exchange.aggregator.entry && digest.isWatching;
-    return isCurrent ? sourceAt(exchange.aggregator.host, digest.others) : TableSource();
+    const bool isCurrent = hasRecentDigest(exchange, now) && digest.sender.entry == exchange.aggregator.entry && digest.isWatching
+                           && !isOld(exchange.digest.provenAt, exchange.maxTablesAge, now);
+    return isCurrent ? sourceAt(exchange.aggregator.host, digest.others, exchange.digest.provenAt) : TableSource();
 }
 
-/// The best aggregator that reads the store, among those for which `isEligible` holds; null if there is none.
+using KnownGroup = Received<GroupSummary>;
+
+/// The group of the best aggregator that reads the store, among those for which `isEligible` holds; null if there is none.
 template<typename Predicate>
-static const GroupSummary *bestReader(const LoadExchange &exchange, Predicate isEligible)
+static const KnownGroup *bestReader(const LoadExchange &exchange, TimePoint now, Predicate isEligible)
 {
-    const GroupSummary *best = nullptr;
+    const KnownGroup *best = nullptr;
     for (const auto &[id, group] : exchange.groups) {
         const GroupSummary &summary = group.last;
-        const bool isReader = summary.group.isStoreReached && summary.sender.capacity > 0 && isEligible(summary.sender);
-        if (isReader && (!best || isBetterAggregator(summary.sender, best->sender))) {
-            best = &summary;
+        const bool isCurrent = summary.group.isStoreReached && !isOld(group.provenAt, exchange.maxTablesAge, now);
+        const bool isReader = isCurrent && summary.sender.capacity > 0 && isEligible(summary.sender);
+        if (isReader && (!best || isBetterAggregator(summary.sender, best->last.sender))) {
+            best = &group;
         }
     }
     return best;
 }
 
 /// A member that reaches the store while this entry does not; null if there is none.
-static const EntryReport *readingMember(const LoadExchange &exchange)
+static const Received<EntryReport> *readingMember(const LoadExchange &exchange, TimePoint now)
 {
     for (const auto &[id, member] : exchange.members) {
-        if (!member.last.isStoreLost) {
-            return &member.last;
+        if (!member.last.isStoreLost && !isOld(member.provenAt, exchange.maxTablesAge, now)) {
+            return &member;
         }
     }
     return nullptr;
 }
 
-static TableSource sourceOfAggregator(const LoadExchange &exchange)
+static TableSource sourceOfAggregator(const LoadExchange &exchange, TimePoint now)
 {
     const auto isLocal = [&exchange](const EntryRef &sender) {
         return sender.dataCenter == exchange.self.dataCenter;
     };
-    const GroupSummary *better = bestReader(exchange, [&](const EntryRef &sender) {
+    const KnownGroup *better = bestReader(exchange, now, [&](const EntryRef &sender) {
         return isLocal(sender) && isBetterAggregator(sender, exchange.self);
     });
     if (better) {
-        return sourceAt(better->sender.host, better->group);
+        return sourceAt(better->last.sender.host, better->last.group, better->provenAt);
     }
     if (!exchange.isStoreFailing) {
         return {};
     }
-    if (const EntryReport *member = readingMember(exchange)) {
-        return {member->sender.host, member->configurationChange, member->targetsChange};
+    if (const Received<EntryReport> *member = readingMember(exchange, now)) {
+        const EntryReport &report = member->last;
+        const TablesProof proof{member->provenAt, report.configurationChange, report.targetsChange};
+        return {report.sender.host, report.configurationChange, report.targetsChange, proof};
     }
-    const GroupSummary *local = bestReader(exchange, isLocal);
-    const GroupSummary *any = local ? local : bestReader(exchange, [](const EntryRef &) {
+    const KnownGroup *local = bestReader(exchange, now, isLocal);
+    const KnownGroup *any = local ? local : bestReader(exchange, now, [](const EntryRef &) {
         return true;
     });
-    return any ? sourceAt(any->group.targets.host, any->group) : TableSource();
+    return any ? sourceAt(any->last.group.targets.host, any->last.group, any->provenAt) : TableSource();
 }
 
 TableSource findTableSource(const LoadExchange &exchange, TimePoint now)
 {
-    return isAggregator(exchange) ? sourceOfAggregator(exchange) : sourceOfMember(exchange, now);
+    return isAggregator(exchange) ? sourceOfAggregator(exchange, now) : sourceOfMember(exchange, now);
 }
 
 bool hasCurrentTables(const LoadExchange &exchange, TimePoint now)
@@ -102,8 +109,11 @@
     constexpr milliseconds maxBound{10000};
     // The pause between two watches, and the answer of a store that is sixty times slower than usual.
     constexpr milliseconds answerTime{600};
-    const milliseconds interval = std::clamp(tableBound, minBound, maxBound) * 3 / 10;
-    return {interval, interval + answerTime};
+    // To notice, and to read the change from a store that is sixty times slower than usual.
+    constexpr milliseconds readTime{400};
+    const milliseconds bound = std::clamp(tableBound, minBound, maxBound);
+    const milliseconds interval = bound * 3 / 10;
+    return {interval, interval + answerTime, bound - readTime, bound};
 }
 
 bool isStoreSilent(const StoreContact &contact, milliseconds maxSilence, TimePoint now)
@@ -118,14 +128,20 @@
     patience.readsAt = now + standbyTime + turnTime;
 }
 
-TableAccess chooseTableAccess(const PeersView &others, bool isComplete, bool isPatient)
+OwnTables describeOwnTables(bool isComplete, const MemberPatience &patience, const OwnTablesAge &age, const ContactLimits &limits, TimePoint now)
+{
+    return {isComplete, now < patience.readsAt, isOld(age.provenAt, limits.maxAge, now)};
+}
+
+TableAccess chooseTableAccess(const PeersView &others, const OwnTables &own)
 {
-    if (!others.source.host.empty()) {
+    const bool mustRead = own.isComplete && own.areOld;
+    if (!others.source.host.empty() && !mustRead) {
         return TableAccess::Copy;
     }
     // A new member waits until its aggregator has the tables; how long is limited by the first copy's timeout.
-    const bool isNewMember = !isComplete && !others.aggregator.empty();
-    if (others.isJoining || isNewMember || (others.leavesReadingToOthers && isPatient)) {
+    const bool isNewMember = !own.isComplete && !others.aggregator.empty();
+    if (others.isJoining || isNewMember || (others.leavesReadingToOthers && own.isPatient && !mustRead)) {
         return TableAccess::LeaveToOthers;
     }
     return TableAccess::Read;
--- a/src/policy/table_source.h
+++ b/src/policy/table_source.h
@@ -16,7 +16,8 @@
 namespace Parsleytrail
 {
 
-/// The entry to copy tables from, and the newest changes that it has. Empty host: this entry reads the store itself.
+/// The entry to copy tables from, and the newest changes that it has. One whose tables are older than LoadExchange::maxTablesAge is none,
+/// whatever it says of itself. Empty host: this entry reads the store itself.
 TableSource findTableSource(const LoadExchange &exchange, TimePoint now);
 /// Whether this entry has the tables from the store at first hand, or from an entry that has.
 bool hasCurrentTables(const LoadExchange &exchange, TimePoint now);
@@ -34,6 +35,8 @@
 struct ContactLimits {
     milliseconds interval{0};   ///< a watch of the targets is answered after this time, also without changes, which are rare
     milliseconds maxSilence{0}; ///< a store that has not answered for this long counts as silent
+    milliseconds maxAge{0};     ///< an entry whose tables are older asks the store itself, and may not rely on another's that are
+    milliseconds bound{0};      ///< an entry whose tables are older may not refuse a request for good as they say
 };
 
 /// Limits for a deployment in which every entry must apply a change of the tables within `tableBound`. Bounds below 2 s and above 10 s are
@@ -62,7 +65,16 @@
     Read,          ///< reads and watches the store
 };
 
-/// `isComplete`: it has both tables. `isPatient`: it has not left reading to others for too long yet.
-TableAccess chooseTableAccess(const PeersView &others, bool isComplete, bool isPatient);
+/// An entry's own tables.
+struct OwnTables {
+    bool isComplete = false; ///< it has both
+    bool isPatient = false;  ///< without a source, it has not left reading to others for too long yet
+    bool areOld = false;     ///< older than ContactLimits::maxAge
+};
+OwnTables describeOwnTables(bool isComplete, const MemberPatience &patience, const OwnTablesAge &age, const ContactLimits &limits, TimePoint now);
+
+/// An entry with old tables reads, whatever its source says and its turn is: the source's copies may not arrive, and the first ones to read
+/// may be cut off from the store too.
+TableAccess chooseTableAccess(const PeersView &others, const OwnTables &own);
 
 } // namespace Parsleytrail
--- a/src/relay/context.cpp
+++ b/src/relay/context.cpp
@@ -115,6 +115,12 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+milliseconds tablesBound(const RelaySettings &settings)
+{
+    const bool hasOwnBound = settings.configurationBound > milliseconds(0);
+    return hasOwnBound ? std::min(settings.targetDrainTime, settings.configurationBound) : settings.targetDrainTime;
+}
+
 bool hearsNoPeers(const RelayContext &context)
 {
     const bool mayHavePeers = context.entryCount.mayHavePeers || context.entryCount.mostPeersSeen > 0;
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -139,6 +139,8 @@
 void logLimitChange(const Target &target, std::string_view source);
 /// A random number in [0, 1).
 double drawShare(std::mt19937_64 &random);
+/// Within this time of an acknowledged change every entry must have it: a configuration has to be in force, and a removed target not used.
+milliseconds tablesBound(const RelaySettings &settings);
 
 /// Records a failure of a target: it gets no new work until its pause is over, and an engine not before it has answered a probe.
 /// Closes its kept connections and logs the change.
--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -5,6 +5,7 @@
 #include "policy/table_source.h"
 #include "wire/compression.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -14,8 +15,6 @@
 /// Rows that expired during an outage of the store reappear within two seconds after its recovery if their target is live; a target
 /// that is missing longer is removed. The remainder allows for the delay of the watch.
 constexpr milliseconds expiredEntryGrace{2300};
-/// The configuration counts as fresh this long after the store last confirmed it: the wait of a watch and its margin.
-constexpr milliseconds configurationFreshTime{3000};
 constexpr milliseconds removalCheckInterval{100}; ///< how often due removals are searched for
 /// At the first start of the whole system an entry waits this long for a copy of the tables before it reads them: until it knows its
 /// group, and that has them.
@@ -41,7 +40,7 @@
     RelayContext &context;
     HttpClient &client;
     Handlers handlers;
-    ContactLimits limits = contactLimits(context.settings.targetDrainTime);
+    ContactLimits limits = contactLimits(tablesBound(context.settings));
     std::unique_ptr<TableWatcher> configuration{};
     std::unique_ptr<TableWatcher> targets{};
     std::unique_ptr<Timer> removalTimer{};
@@ -57,8 +56,12 @@
     TimePoint behindSince{};      ///< since when another entry has newer rows than this one; zero: none has
     TimePoint storeSilentSince{}; ///< since when no entry is known to reach the store; zero: one does, or this entry queries it
     MemberPatience patience{};    ///< with others that don't reach the store
+    OwnTablesAge age{};           ///< how old the tables are
+    bool areTablesOld = false;    ///< as last logged
 
+    StoreContact contact() const;
     bool isSilent() const;
+    void updateAge(const TableSource &source);
     void updateStoreReachability(const PeersView &others);
     void recordOwnPath(bool isReachable);
     void recordStoreReachable(bool isReachable);
@@ -83,6 +86,7 @@
         // The operator never removes the configuration; the one in force stays.
     };
     onConfiguration.onRead = [this] {
+        d->updateAge({});
         d->handlers.onRoutes();
     };
     onConfiguration.onStoreReachable = [](bool) {};
@@ -98,6 +102,7 @@
     };
     onTargets.onRead = [this] {
         logEvent(Event::TargetsRead, {{"targets", std::to_string(d->context.fleet.targets.size())}, {"revision", std::to_string(d->targets->lastChange())}});
+        d->updateAge({});
         d->handlers.onTargets();
     };
     onTargets.onStoreReachable = [this](bool isReachable) {
@@ -127,7 +132,7 @@
 
 bool Registry::isConfigurationFresh() const
 {
-    return d->context.routes && d->context.clock.now() - d->configuration->confirmedAt() < configurationFreshTime;
+    return d->context.routes && !isOld(d->age.provenAt, d->limits.bound, d->context.clock.now());
 }
 
 bool Registry::mayListBeIncomplete() const
@@ -156,6 +161,11 @@
     return d->storeLostAt;
 }
 
+TimePoint Registry::tablesProvenAt() const
+{
+    return d->age.provenAt;
+}
+
 void Registry::describe(EntryState &state) const
 {
     state.isStoreFailing = isStorePathLost() || d->isSilent();
@@ -164,13 +174,16 @@
     state.isWatching = isComplete() && d->targets->isWatching() && d->configuration->isWatching() && !state.isStoreFailing;
     state.configurationChange = d->configuration->lastChange();
     state.targetsChange = d->targets->lastChange();
+    state.tablesProvenAt = d->age.provenAt;
 }
 
 void Registry::applyPeerState(const PeersView &others)
 {
     const EntriesView &entries = others.entries;
     d->updateStoreReachability(others);
-    switch (chooseTableAccess(others, isComplete(), d->context.clock.now() < d->patience.readsAt)) {
+    d->updateAge(others.source);
+    const OwnTables own = describeOwnTables(isComplete(), d->patience, d->age, d->limits, d->context.clock.now());
+    switch (chooseTableAccess(others, own)) {
     case TableAccess::Copy:
         d->followSource(others.source);
         if (others.aggregator.empty()) {
@@ -192,19 +205,38 @@
     if (d->targets->isStoreLost() && entries.targets.change > d->targets->lastChange()) {
         d->fetchCopy(*d->targets, d->context.adapter.targetTable(), entries.targets.host);
     }
-    if (entries.isStoreReached) {
-        d->configuration->recordConfirmation(entries.configuration.change);
-        d->targets->recordConfirmation(entries.targets.change);
-    }
 }
 
-/// Whether this entry queries the store and has no answer for too long. The answers to either table count: both come from one store.
-bool Registry::Private::isSilent() const
+/// The answers to the calls for either table count: both come from one store.
+StoreContact Registry::Private::contact() const
 {
     const StoreContact &first = targets->contact();
     const StoreContact &second = configuration->contact();
-    const StoreContact both{std::max(first.askedAt, second.askedAt), std::max(first.answeredAt, second.answeredAt)};
-    return targets->isQuerying() && isStoreSilent(both, limits.maxSilence, context.clock.now());
+    return {std::max(first.askedAt, second.askedAt), std::max(first.answeredAt, second.answeredAt)};
+}
+
+/// Whether this entry queries the store and has no answer for too long.
+bool Registry::Private::isSilent() const
+{
+    return targets->isQuerying() && isStoreSilent(contact(), limits.maxSilence, context.clock.now());
+}
+
+/// Records what the store, or an entry that this one copies from, has proved of the tables.
+void Registry::Private::updateAge(const TableSource &source)
+{
+    // The open watch of the other table would have told of its changes.
+    const bool isWatchingBoth = configuration->isWatching() && targets->isWatching() && !configuration->isStoreLost() && !targets->isStoreLost();
+    const auto [older, newer] = std::minmax({configuration->provenAt(), targets->provenAt()});
+    recordAnswer(age, isWatchingBoth ? newer : older);
+    if (!source.host.empty()) {
+        recordProof(age, source.proof, configuration->lastChange(), targets->lastChange());
+    }
+    const TimePoint now = context.clock.now();
+    const bool wereOld = std::exchange(areTablesOld, age.provenAt != TimePoint() && isOld(age.provenAt, limits.maxAge, now));
+    if (areTablesOld != wereOld) {
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(now - age.provenAt);
+        logEvent(areTablesOld ? Event::TablesOld : Event::TablesCurrent, {{"age_ms", std::to_string(elapsed.count())}, {"source", source.host}});
+    }
 }
 
 /// Records that this entry's own calls to the store began to fail, or work again. As long as another entry reaches the store, only the
--- a/src/relay/registry.h
+++ b/src/relay/registry.h
@@ -44,8 +44,10 @@
     bool isStorePathLost() const;
     /// Whether a configuration is in force and the target table was read.
     bool isComplete() const;
-    /// Whether the configuration was confirmed within the last three seconds. Only then may an unknown route or key be answered as an
-    /// error of the caller.
+    /// When the store is known to have held nothing newer than this entry's tables; zero: never.
+    TimePoint tablesProvenAt() const;
+    /// Whether the configuration is younger than the time within which a change must be in force. Only then may an unknown route or key be
+    /// answered as an error of the caller.
     bool isConfigurationFresh() const;
 
 private:
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -617,6 +617,8 @@
     state["tablesFrom"] = d->peers->others().source.host;
     EntryState tables;
     d->registry->describe(tables);
+    const bool areTablesProven = tables.tablesProvenAt != TimePoint();
+    state["tablesAgeMs"] = areTablesProven ? nlohmann::json(std::chrono::duration_cast<milliseconds>(now - tables.tablesProvenAt).count()) : nlohmann::json();
     state["readsStore"] = tables.isWatching;
     state["isQueryingStore"] = d->registry->isQueryingStore();
     state["isStoreFailing"] = tables.isStoreFailing;
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_peers.h"
 
 #include "base/log.h"
+#include "policy/table_source.h"
 #include "relay/workspace_reports.h"
 #include "wire/datagrams.h"
 
@@ -10,7 +11,7 @@
 {
 
 /// Wire version of the messages between relays; raised when a field is added to one of them.
-constexpr std::uint16_t relayWireVersion = 5;
+constexpr std::uint16_t relayWireVersion = 6;
 
 struct RelayPeers::Private {
     RelayContext &context;
@@ -55,6 +56,7 @@
         seeds.push_back(address.host);
     }
     d->exchange = makeLoadExchange(ownEntryRef(settings), incarnationNow(d->context.clock), std::move(seeds), d->context.clock.now());
+    d->exchange.maxTablesAge = contactLimits(tablesBound(settings)).maxAge;
     d->datagrams = std::make_unique<DatagramSocket>(d->context.loop, relayWireVersion, [this](const Frame &frame, const Address &) {
         return d->handleDatagram(frame);
     });
--- a/src/relay/table_watcher.cpp
+++ b/src/relay/table_watcher.cpp
@@ -43,8 +43,9 @@
     std::uint64_t firstRevision = 0;                  ///< revision of the first page of the current read
     std::uint64_t lastChange = 0;                     ///< highest version of any row, including removed ones
     std::uint64_t historyStart = 0;                   ///< revision of the first read: removals before it are unknown
-    TimePoint confirmedAt{};
     StoreContact contact{};
+    TimePoint provenAt{};           ///< when the store last answered with all changes up to then
+    TimePoint firstPageAt{};        ///< of the current read
     TimePoint followingPeerUntil{}; ///< until when a peer is relied on to watch the table
     int failures = 0;
     int resetsInRow = 0; ///< watches that the store had no history for, since one that it answered
@@ -101,9 +102,9 @@
     return d->isRead;
 }
 
-TimePoint TableWatcher::confirmedAt() const
+TimePoint TableWatcher::provenAt() const
 {
-    return d->confirmedAt;
+    return d->provenAt;
 }
 
 const StoreContact &TableWatcher::contact() const
@@ -212,13 +213,6 @@
     }
 }
 
-void TableWatcher::recordConfirmation(std::uint64_t change)
-{
-    if (d->isRead && change <= d->lastChange) {
-        d->confirmedAt = d->context.clock.now();
-    }
-}
-
 bool TableWatcher::Private::isFollowingPeer() const
 {
     return context.clock.now() < followingPeerUntil;
@@ -283,8 +277,7 @@
 
 void TableWatcher::Private::recordResponse()
 {
-    confirmedAt = context.clock.now();
-    contact.answeredAt = confirmedAt;
+    contact.answeredAt = context.clock.now();
     if (failures >= failuresUntilLost) {
         logEvent(Event::StoreBack, {{"table", table}});
         handlers.onStoreReachable(true);
@@ -302,6 +295,7 @@
     }
     if (isWatching) {
         resetsInRow = 0;
+        provenAt = context.clock.now();
         revision = std::max(revision, page.revision);
         if (page.rows.empty()) {
             queryUnlessFollowing();
@@ -312,6 +306,7 @@
     }
     if (readFrom.empty()) {
         firstRevision = page.revision;
+        firstPageAt = context.clock.now();
     }
     if (page.hasMore && !page.rows.empty()) {
         readFrom = page.rows.back().key + '\x01';
@@ -368,6 +363,7 @@
     keysRead.clear();
     readFrom.clear();
     revision = firstRevision;
+    provenAt = firstPageAt;
     isWatching = true;
     isSettling = !std::exchange(isRead, true);
     if (isSettling) {
--- a/src/relay/table_watcher.h
+++ b/src/relay/table_watcher.h
@@ -39,8 +39,8 @@
     void start(milliseconds copyWait);
     /// Whether the table was read completely since the start, or copied from a peer.
     bool isRead() const;
-    /// When the store last answered, or a peer that reaches the store last reported that it has no newer change.
-    TimePoint confirmedAt() const;
+    /// When the store last answered with all changes up to then; zero: never.
+    TimePoint provenAt() const;
     /// When calls to the store last began after a time of copying, and when the last answer arrived.
     const StoreContact &contact() const;
     /// Whether the store is unreachable.
@@ -61,8 +61,6 @@
     void queryNow();
     /// There is no peer, or it is unusable: this watcher reads or watches the table itself.
     void stopFollowingPeer();
-    /// A peer that reaches the store has received no change newer than `change`.
-    void recordConfirmation(std::uint64_t change);
 
 private:
     struct Private;
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,6 +16,7 @@
   events     each event of a stream arrives once and in order; a stream is complete only with its last event
   stops      a relay ends only when told to, with status 0, within its stop timeout
   recovery   within 20 seconds after the last fault every relay serves streams and calls again
+  current    within the same time every relay has the newest configuration
 
 Exit: 0 all checks passed, 1 a check failed (the seed and the folder with all logs are printed), 2 wrong usage.
 """
@@ -40,6 +41,7 @@
 STOP_TIMEOUT = 3.0  # seconds from the stop signal until the relay ends by itself; also its setting stop-timeout
 RECOVERY = 20.0  # seconds after the last fault until all relays must serve again; a lease and the grace after an outage take 6 of them
 ANSWER_TIMEOUT = 6.0  # seconds that a caller waits for a response
+CHANGES_IN_SERIES = 60  # configurations written one after the other
 SECONDS = 8.0  # time during which a seed injects faults
 # Seeds that failed before, with the cause. Never removed or changed.
 REGRESSIONS = {
@@ -373,6 +375,26 @@
                         break
                     await asyncio.sleep(0.1)
 
+    async def version_at(self, relay):
+        """Version of the configuration in force at a relay; 0 if it does not tell."""
+        connection = Connection((relay.address[0], self.peer_port + 1))
+        try:
+            answer = await asyncio.wait_for(connection.request(b"GET /state HTTP/1.1\r\nHost: relay\r\n"), ANSWER_TIMEOUT)
+            return json.loads(answer[2])["configurationVersion"]
+        except (OSError, EOFError, ValueError, asyncio.TimeoutError):
+            return 0
+        finally:
+            connection.close()
+
+    async def wait_current(self):
+        end = time.monotonic() + RECOVERY
+        for relay in self.relays:
+            while (version := await self.version_at(relay)) < self.version:
+                if time.monotonic() > end:
+                    self.fail("current", f"{relay.name} has version {version} of the configuration, the newest is {self.version}")
+                    break
+                await asyncio.sleep(0.1)
+
     # Faults
 
     async def disturb_proxy(self):
@@ -437,6 +459,17 @@
         self.log_line("configuration")
         await self.configure()
 
+    async def change_in_series(self):
+        """Many configurations in a row, while the store falls silent for one relay."""
+        proxy = self.proxies[f"store-{self.random.randrange(len(self.relays))}"]
+        self.log_line(f"configurations in series, {proxy.name} silent")
+        for number in range(CHANGES_IN_SERIES):
+            if number == CHANGES_IN_SERIES // 4:
+                proxy.set_mode("silent")
+            await self.configure()
+            await asyncio.sleep(0.05)
+        proxy.set_mode("pass")
+
     async def cut_from_store(self):
         """The store falls silent for one relay alone, and the configuration changes meanwhile."""
         index = self.random.randrange(len(self.relays))
@@ -473,7 +506,7 @@
     async def run_fault(self):
         self.counts["faults"] += 1
         faults = [self.disturb_proxy] * 5 + [self.pause] * 2 + [self.restart_relay] * 2 + [self.restart_host] * 2 + [self.change_configuration, self.send_sighup]
-        faults += [self.cut_from_store, self.reuse_address]
+        faults += [self.cut_from_store, self.reuse_address, self.change_in_series]
         try:
             await self.random.choice(faults)()
         except (OSError, EOFError) as error:
@@ -516,6 +549,7 @@
         self.log_line("faults are over")
         self.check_ends()
         await self.wait_serving("after the last fault")
+        await self.wait_current()
         self.is_over = True
         await asyncio.gather(*callers)
         self.check_ends()
--- a/tests/table_source_test.cpp
+++ b/tests/table_source_test.cpp
@@ -113,8 +113,9 @@
     BOOST_TEST(!leavesReadingToOthers(member(false, "m"), start));
     BOOST_TEST(!leavesReadingToOthers(member(false, "x"), start + exchangeTimeout));
     PeersView others = peersView(member(false, "x"), start);
-    BOOST_TEST((chooseTableAccess(others, true, true) == TableAccess::LeaveToOthers));
-    BOOST_TEST((chooseTableAccess(others, true, false) == TableAccess::Read));
+    BOOST_TEST((chooseTableAccess(others, {true, true, false}) == TableAccess::LeaveToOthers));
+    BOOST_TEST((chooseTableAccess(others, {true, false, false}) == TableAccess::Read));
+    BOOST_TEST((chooseTableAccess(others, {true, true, true}) == TableAccess::Read));
 }
 
 /// Guards against a member that stops reading because its aggregator copies from it, so that neither has news.
