Nothing is read from a connection after a request on it was refused

Callers saw: 400 for a booking with a malformed chunked body, and another booking hidden in its bytes ran at a server (UNASKED, request smuggling).

Cause: a refusal ends the exchange within handleInput(), which went on with the bytes that were left, as for a pipelined request. It was the same for each answer that closes its connection, also for one that a handler gives at once (401 with Connection: close). Fix: a session that closes is over and reads nothing more. A trailer line without a colon or a name is refused now with 400; it was skipped.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -68,6 +68,7 @@
     TimePoint waitingSince{}; ///< when the first byte of a head, the last part of a body or the end of a response was processed
     bool hasPartialHead = false;
     bool hasServed = false; ///< a request on this connection was answered
+    bool isOver = false;    ///< the connection closes after its last response; nothing more is read from it
 
     bool isIdle() const;
     void start();
@@ -108,7 +109,7 @@
 
 void CallerSession::handleInput()
 {
-    while (connection->isOpen() && !isAnswering && !connection->input().empty()) {
+    while (connection->isOpen() && !isOver && !isAnswering && !connection->input().empty()) {
         const std::size_t before = connection->input().size();
         if (isReadingBody) {
             handleBody();
@@ -119,7 +120,9 @@
             break;
         }
     }
-    connection->pauseReading(connection->input().size() > initialBodyReserveBytes * 4);
+    if (!isOver) {
+        connection->pauseReading(connection->input().size() > initialBodyReserveBytes * 4);
+    }
 }
 
 void CallerSession::handleHead()
@@ -214,6 +217,7 @@
     hasServed = true;
     waitingSince = owner->clock.now();
     if (done->d->closes || owner->isDraining) {
+        isOver = true;
         owner->closing.insert(connection);
         connection->closeAfterWriting([owner = owner, raw = connection.get()] {
             owner->closing.erase(raw->shared_from_this());
--- a/src/relay/http_message.cpp
+++ b/src/relay/http_message.cpp
@@ -275,8 +275,10 @@
         reader.isMalformed = input.size() > maxChunkLineBytes;
         return 0;
     }
+    const std::string_view name = input.substr(0, std::min(end, input.find(':')));
+    const bool isField = name.size() < end && isToken(name);
     reader.isComplete = end == 0;
-    reader.isMalformed = end > reader.trailerBytesLeft;
+    reader.isMalformed = end > reader.trailerBytesLeft || (end > 0 && !isField);
     reader.trailerBytesLeft -= std::min(end, reader.trailerBytesLeft);
     return end + 2;
 }
