--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -192,19 +192,24 @@
 
 
 class Proxy:
-    """Forwards connections to the store. While it is silent, nothing passes in either direction, and new connections hang."""
+    """Forwards connections to the store. While it is silent, nothing passes in either direction, and new connections hang;
+    while it refuses, connections are reset."""
 
     def __init__(self, target):
-        self.target, self.silent = target.split(":"), False
-        self.pairs = []
+        self.target, self.silent, self.refuse = target.split(":"), False, False
+        self.writers = set()
 
     async def start(self, host):
         self.server = await asyncio.start_server(self.accept, host, 0)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     async def accept(self, reader, writer):
+        if self.refuse:
+            return reset(writer)
+        self.writers.add(writer)
         up_reader, up_writer = await asyncio.open_connection(self.target[0], int(self.target[1]))
         await asyncio.gather(self.copy(reader, up_writer), self.copy(up_reader, writer))
+        self.writers.discard(writer)
 
     async def copy(self, reader, writer):
         try:
