--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -19,8 +19,9 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 RELAY = ROOT / "target" / "parsley-relay"
 # Bounds of the small deployments (SYSTEM.md).
-BOUNDS = {"drainMs": 2000, "configMs": 2000, "contactMs": 3000, "graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 198,
-          "budgetWindowS": 10}
+BOUNDS = {"seedLagS": 3, "reuseAfterS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200,
+          "configMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "strictRevoke": False, "revokeMs": 5000, "retryBudgetRatio": 0.2,
+          "budgetWindowS": 10, "budgetSlack": 198, "recoverS": 12, "passMs": 120, "retryAfterS": 0, "stall_ms": 3000, "requireFence": False}
 ZONE = "nl-west-a"
 HISTORY = 20  # seconds for which the store keeps its history (historyS)
 
@@ -193,11 +194,26 @@
 
 class Proxy:
     """Forwards connections to the store. While it is silent, nothing passes in either direction, and new connections hang;
-    while it refuses, connections are reset."""
+    while it refuses, connections are reset once a call has come."""
 
     def __init__(self, target):
         self.target, self.silent, self.refuse = target.split(":"), False, False
         self.writers = set()
+        self.tried = asyncio.Event()  # set by each call for the list of engines that it refuses
+
+    def cut(self):
+        """Refuses connections from now on, and resets those that are open."""
+        self.refuse = True
+        for writer in list(self.writers):
+            reset(writer)
+
+    async def wait_try(self, seconds):
+        """Waits for the next call for the list of engines that is refused."""
+        self.tried.clear()
+        try:
+            await asyncio.wait_for(self.tried.wait(), max(seconds, 0))
+        except asyncio.TimeoutError:
+            pass
 
     async def start(self, host):
         self.server = await asyncio.start_server(self.accept, host, 0)
@@ -205,6 +221,9 @@
 
     async def accept(self, reader, writer):
         if self.refuse:
+            head = await read_head(reader)
+            if head and "table=servers" in head[0]:
+                self.tried.set()
             return reset(writer)
         self.writers.add(writer)
         up_reader, up_writer = await asyncio.open_connection(self.target[0], int(self.target[1]))
@@ -285,22 +304,42 @@
         return True
 
 
+def rendered(fields, placeholder):
+    """The text of a placeholder of a template: {{a}}, {{a.b}}, {{a.0}}, {{a|json}} (DEPLOY.md). Sections are not supported."""
+    path, _, form = placeholder.strip().partition("|")
+    value = fields
+    for part in path.split("."):
+        if part:
+            value = value[int(part)] if isinstance(value, list) else value.get(part)
+    if form == "json" or isinstance(value, (dict, bool)):
+        return json.dumps(value)
+    if isinstance(value, list):
+        return ",".join(str(one) for one in value)
+    return "" if value is None else str(value)
+
+
 class Relay:
     """A process of the relay, started with the command of the deploy file."""
 
     def __init__(self, name, host, ports, seeds, store, folder, first_start=True, zone=ZONE, bounds=BOUNDS):
         self.name, self.host, self.ports, self.folder, self.zone = name, host, ports, folder, zone
-        self.settings = {"nodeName": name, "zone": zone, "nodeIp": host, "listen.front": f"{host}:{ports['front']}",
-                         "listen.ready": f"{host}:{ports['ready']}", "internalPorts.0": ports["peer"], "limits.cpuShare": 0.19,
-                         "limits.maxFds": 4100, "firstStart": str(first_start).lower(), "seedAddrs": ",".join(f"{seed}:{ports['control']}" for seed in seeds),
-                         "platform.address": store, "bounds.retryBudgetRatio": bounds["retryBudgetRatio"], "bounds.budgetSlack": bounds["budgetSlack"],
-                         "bounds.budgetWindowS": bounds["budgetWindowS"], "bounds.drainMs": bounds["drainMs"], "bounds.graceS": bounds["graceS"]}
+        # The fields of DEPLOY.md, with the figures of a small deployment.
+        self.settings = {
+            "nodeName": name, "role": "relay", "machineClass": "edge", "serves": ["edge", "control"], "nodeIp": host, "zone": zone, "region": "nl-west",
+            "zones": {zone: "nl-west"}, "listen": {port: f"{host}:{ports[port]}" for port in ("front", "ready", "control")},
+            "internalPorts": [ports["peer"], ports["peer"] + 15], "seedAddrs": [f"{seed}:{ports['control']}" for seed in seeds],
+            "firstStart": first_start, "faultCounted": False,
+            "limits": {"cpuShare": 0.19, "cpuCores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}, "dataDir": None,
+            "discovery": "platform", "entry": "vip", "heartbeatMs": 1200, "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine",
+            "stream", "tenants", "platform", "layers"], "faultTolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": bounds,
+            "platform": {"address": store, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 5.0, "appendsPerS": 200, "rowBytes": 65536,
+                         "across": False, "historyS": HISTORY, "blobBytes": 8388608, "blobMs": 25.0, "blobPerS": 80.0}}
         self.process = None
         self.starts = 0
 
     async def start(self):
         template = (ROOT / "deploy" / "relay.ini").read_text(encoding="utf-8")
-        text = re.sub(r"\{\{([^}]+)\}\}", lambda match: str(self.settings[match.group(1)]), template)
+        text = re.sub(r"\{\{([^}]+)\}\}", lambda match: rendered(self.settings, match.group(1)), template)
         path = self.folder / f"{self.name}.ini"
         path.write_text(text, encoding="utf-8")
         self.starts += 1
@@ -308,7 +347,7 @@
         environment = {"PATH": os.environ.get("PATH", ""), "PARSLEYTRAIL_NODE_FILE": str(path), "PARSLEY_MEMORY_MB": "260"}
         with open(self.log, "wb") as log:
             self.process = await asyncio.create_subprocess_exec(str(RELAY), cwd=ROOT, env=environment, stdout=log, stderr=log)
-        self.settings["firstStart"] = "false"
+        self.settings["firstStart"] = False
 
     def send(self, number):
         if self.process and self.process.returncode is None:
