--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 BOUNDS = {**s.BOUNDS, "drainMs": 3000, "configMs": 3000, "contactMs": 4000, "budgetSlack": 224}  # warraq-amman-grown
 CUT = 5.5  # seconds for which the first entry is cut off from the store
 REMOVED_AFTER = 0.5  # seconds from the begin of the cut
-QUIET = 24.0  # seconds before the cut, longer than the store keeps its history
+DROPPED_AFTER = 0.6  # the same, for the history of the store
 WATCHED = 14.0  # seconds after the removal; the engine serves on for all of them
 CLIENTS = 4
 
@@ -67,7 +67,7 @@
         last = [relay for n, relay in enumerate(relays) if n != reader][1]
         record.write(f"{relays[reader].name} reads the store, the others copy from it; the clients use {last.name}")
         tasks = [asyncio.ensure_future(client_loop(last.host, ports["front"], record, counts, over, f"c{n}")) for n in range(CLIENTS)]
-        await asyncio.sleep(QUIET)
+        await asyncio.sleep(5)
         cut_at = record.now()
         if TROUBLE:
             proxy.silent = True
@@ -76,6 +76,10 @@
         store.apply(removals=[("servers", leaving.name)])
         removed_at = record.now()
         record.write(f"the store acknowledges that {leaving.name} is gone; it serves on for {WATCHED} s")
+        await asyncio.sleep(cut_at + DROPPED_AFTER - record.now())
+        if TROUBLE:
+            store.drop_history()
+            record.write("the store discards its history")
         await asyncio.sleep(cut_at + CUT - record.now())
         if TROUBLE:
             proxy.silent = False
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -94,7 +94,8 @@
     def __init__(self):
         self.rows = {}  # (table, key) -> (version, value or None if it was removed)
         self.version = 0
-        self.versions = []  # (time, version) of each change
+        self.changes = []  # (time, version, table) of each change
+        self.dropped = 0  # the history up to this version was discarded sooner than HISTORY
         self.changed = asyncio.Event()
         self.writers = set()
 
@@ -105,7 +106,8 @@
     def apply(self, puts=(), removals=()):
         """One transaction; its changes are acknowledged when this returns."""
         self.version += 1
-        self.versions.append((time.monotonic(), self.version))
+        for table in {row[0] for row in [*puts, *removals]}:
+            self.changes.append((time.monotonic(), self.version, table))
         for table, key, value in puts:
             self.rows[table, key] = (self.version, value)
         for table, key in removals:
@@ -114,10 +116,14 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def has_history(self, after):
-        """Whether all changes since `after` are younger than HISTORY."""
+    def drop_history(self):
+        """Discards the history of all changes so far, as the store may."""
+        self.dropped = self.version
+
+    def has_history(self, table, after):
+        """Whether all changes of the table since `after` are still in the history."""
         oldest = time.monotonic() - HISTORY
-        return not any(version > after and at < oldest for at, version in self.versions)
+        return not any(of == table and version > after and (at < oldest or version <= self.dropped) for at, version, of in self.changes)
 
     def listed(self, table, wanted):
         found = []
@@ -159,7 +165,7 @@
             after, wait = int(query["after"]), int(query.get("waitMs", "0")) / 1000
             end = time.monotonic() + min(wait, 30)
             while True:
-                if not self.has_history(after):
+                if not self.has_history(table, after):
                     return 410, self.body([])
                 rows = self.listed(table, lambda key, version, value: version > after)
                 left = end - time.monotonic()
