--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,7 +39,7 @@
             for relay in relays:
                 if relay.process.returncode is not None:
                     ends.append((relay.name, relay.process.returncode))
-                    record.write(f"{relay.name} has ended by itself with status {relay.process.returncode}: {relay.log.read_text(errors='replace').strip()[-200:]}")
+                    record.write(f"{relay.name} has ended by itself with status {relay.process.returncode}: {relay.log.read_text(errors='replace').replace(str(folder) + '/', '').strip()[-200:]}")
         for number in range(REQUESTS):
             fields = {"Host": "shop.example", "X-Attempt-Id": f"c{number}", "X-Deadline-Ms": "4000"}
             answer = await s.request(hosts[number % 2], ports["front"], "POST", "/book/x", fields, b"seat")
