Durations in settings may be fractions, or whole numbers in another form

Callers saw: no answer. Cause: the settings template writes the number and a unit, and the reader of durations took whole numbers only. Change: durations are decimal numbers, rounded to milliseconds; counts may come in any form of a whole number. What is no finite decimal number, negative or out of range is refused as before. The template is unchanged.

--- a/src/base/ini.cpp
+++ b/src/base/ini.cpp
@@ -6,6 +6,7 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <optional>
 
@@ -202,6 +203,27 @@
 
 // [SECTION] Reading keys
 
+/// Parses a decimal number, with a fraction and an exponent if it has them. Returns false if it is none or out of range.
+static bool parseDecimal(std::string_view text, double &out)
+{
+    return parseNumber(text, out) && std::isfinite(out);
+}
+
+/// Parses a whole number in any form of a decimal number: whoever writes settings from its own figures may write 8 as 8.0 or 8e0.
+static bool parseWholeNumber(std::string_view text, std::int64_t &out)
+{
+    if (parseNumber(text, out)) {
+        return true;
+    }
+    constexpr double maxExact = 9007199254740992.0; // 2^53: a double holds all whole numbers up to it
+    double value = 0;
+    if (!parseDecimal(text, value) || std::abs(value) > maxExact || value != std::trunc(value)) {
+        return false;
+    }
+    out = static_cast<std::int64_t>(value);
+    return true;
+}
+
 IniSectionReader::IniSectionReader(const IniSection &section, std::vector<IniProblem> &problems)
     : m_section(section)
     , m_problems(problems)
@@ -258,7 +280,7 @@
         return;
     }
     std::int64_t value = 0;
-    if (!parseNumber(entry->value, value) || value < min || value > max) {
+    if (!parseWholeNumber(entry->value, value) || value < min || value > max) {
         addKeyProblem(*entry, absl::StrCat("expected a whole number from ", min, " to ", max));
         return;
     }
@@ -299,7 +321,7 @@
         return;
     }
     std::string_view digits = entry->value;
-    std::int64_t unitMs = 0;
+    double unitMs = 0;
     if (digits.ends_with("ms")) {
         unitMs = 1;
         digits.remove_suffix(2);
@@ -310,13 +332,14 @@
         unitMs = 60000;
         digits.remove_suffix(1);
     }
-    std::int64_t count = 0;
-    const bool isNumber = unitMs > 0 && parseNumber(digits, count) && count >= 0;
-    if (!isNumber || count > maxMs / unitMs || count * unitMs < minMs) {
-        addKeyProblem(*entry, absl::StrCat("expected a duration such as 250ms, 2s or 1m, from ", minMs, "ms to ", maxMs, "ms"));
+    double count = 0;
+    const bool isNumber = unitMs > 0 && parseDecimal(digits, count) && !std::signbit(count);
+    const double ms = std::round(count * unitMs);
+    if (!isNumber || ms > static_cast<double>(maxMs) || ms < static_cast<double>(minMs)) {
+        addKeyProblem(*entry, absl::StrCat("expected a duration such as 250ms, 2s, 7.5s or 1m, from ", minMs, "ms to ", maxMs, "ms"));
         return;
     }
-    out = milliseconds(count * unitMs);
+    out = milliseconds(static_cast<std::int64_t>(ms));
 }
 
 void IniSectionReader::list(const char *key, bool required, std::vector<std::string> &out)
--- a/src/base/ini.h
+++ b/src/base/ini.h
@@ -67,6 +67,7 @@
     void integer(const char *key, bool required, std::int64_t min, std::int64_t max, std::int64_t &out);
     void number(const char *key, bool required, double min, double max, double &out);
     void boolean(const char *key, bool required, bool &out);
+    /// A decimal number and a unit (ms, s or m); rounded to milliseconds.
     void duration(const char *key, bool required, std::int64_t minMs, std::int64_t maxMs, milliseconds &out);
     void list(const char *key, bool required, std::vector<std::string> &out);
     /// Adds a problem for each key of the section that was not read by one of the calls above.
