A removed target is not kept until its relay is in touch again after a cut

Cause: the end of a cut was noticed up to 1.3 s late (2.3 s where calls are not answered), and the grace for rows that expired in an outage, 2.3 s, starts then. Ruled out: that the removal's own version tells a cut from an outage, as entries are removed during an outage too. Change: policy/store_outage.h holds both times. The configuration keeps its pauses.

--- a/src/relay/registry.cpp
+++ b/src/relay/registry.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "policy/prefill_forecast.h"
+#include "policy/store_outage.h"
 #include "policy/table_source.h"
 #include "wire/compression.h"
 
@@ -12,10 +13,6 @@
 namespace Parsleytrail
 {
 
-/// Rows that expired during an outage of the store reappear within two seconds after its recovery if their target is live; a target
-/// that is missing longer is removed. The remainder allows for the delay of the watch.
-constexpr milliseconds expiredEntryGrace{2300};
-constexpr milliseconds removalCheckInterval{100}; ///< how often due removals are searched for
 /// At the first start of the whole system an entry waits this long for a copy of the tables before it reads them: until it knows its
 /// group, and that has them.
 constexpr milliseconds maxCopyWait{3000};
@@ -72,6 +69,7 @@
     void applyTarget(const Row &row);
     void handleTargetRemoval(const std::string &key);
     void removeTarget(const std::string &key);
+    void startRemovalTimer();
     void removeDueTargets();
 };
 
@@ -90,8 +88,8 @@
         d->handlers.onRoutes();
     };
     onConfiguration.onStoreReachable = [](bool) {};
-    d->configuration =
-        std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), context.settings.storeWatch, std::move(onConfiguration));
+    d->configuration = std::make_unique<TableWatcher>(context, client, store, context.adapter.configurationTable(), context.settings.storeWatch,
+                                                      maxRetryInterval, std::move(onConfiguration));
 
     TableWatcher::Handlers onTargets;
     onTargets.onRow = [this](const Row &row) {
@@ -109,7 +107,7 @@
         d->recordOwnPath(isReachable);
     };
     d->targets = std::make_unique<TableWatcher>(context, client, store, context.adapter.targetTable(),
-                                                std::min(d->limits.interval, context.settings.storeWatch), std::move(onTargets));
+                                                std::min(d->limits.interval, context.settings.storeWatch), maxTargetsRetryInterval, std::move(onTargets));
     d->removalTimer = std::make_unique<Timer>(context.loop, [this] {
         d->removeDueTargets();
     });
@@ -471,7 +469,18 @@
         return removeTarget(key);
     }
     removals[key] = std::max(storeRecoveredAt, now - expiredEntryGrace) + expiredEntryGrace;
-    removalTimer->start(removalCheckInterval);
+    startRemovalTimer();
+}
+
+void Registry::Private::startRemovalTimer()
+{
+    const auto first = std::min_element(removals.begin(), removals.end(), [](const auto &a, const auto &b) {
+        return a.second < b.second;
+    });
+    if (first != removals.end()) {
+        const TimePoint::duration left = std::max(first->second - context.clock.now(), TimePoint::duration::zero());
+        removalTimer->start(std::chrono::ceil<microseconds>(left));
+    }
 }
 
 void Registry::Private::removeTarget(const std::string &key)
@@ -499,9 +508,7 @@
         removals.erase(key);
         removeTarget(key);
     }
-    if (!removals.empty()) {
-        removalTimer->start(removalCheckInterval);
-    }
+    startRemovalTimer();
 }
 
 } // namespace Parsleytrail
--- a/src/relay/table_watcher.cpp
+++ b/src/relay/table_watcher.cpp
@@ -1,6 +1,7 @@
 #include "relay/table_watcher.h"
 
 #include "base/log.h"
+#include "policy/store_outage.h"
 
 #include <algorithm>
 #include <set>
@@ -8,10 +9,8 @@
 namespace Parsleytrail
 {
 
-constexpr milliseconds readTimeout{1000};   ///< a read takes milliseconds; a store that is sixty times slower still meets this
-constexpr milliseconds watchMargin{700};    ///< time after the wait of a watch until the watch counts as lost
-constexpr milliseconds minRetryPause{100};  ///< doubles with each consecutive failure
-constexpr milliseconds maxRetryPause{1000}; ///< bounds the delay until the store's recovery is noticed
+constexpr milliseconds readTimeout{1000}; ///< a read takes milliseconds; a store that is sixty times slower still meets this
+constexpr milliseconds watchMargin{700};  ///< time after the wait of a watch until the watch counts as lost
 /// A change is usually followed by others: the watch continues after this pause, so that they arrive in one response. It is a
 /// fraction of the time within which a configuration must be in force.
 constexpr milliseconds watchPause{200};
@@ -30,7 +29,8 @@
     HttpClient &client;
     Address store;
     std::string table;
-    milliseconds wait; ///< of a watch
+    milliseconds wait;         ///< of a watch
+    milliseconds longestRetry; ///< interval of calls to a store that fails, see retryInterval()
     Handlers handlers;
 
     std::unique_ptr<Timer> next{};
@@ -45,6 +45,7 @@
     std::uint64_t lastChange = 0;     ///< highest version of any row, including removed ones
     std::uint64_t historyStart = 0;   ///< revision of the first read: removals before it are unknown
     StoreContact contact{};
+    TimePoint queriedAt{};          ///< start of the last call to the store
     TimePoint provenAt{};           ///< when the store last answered with all changes up to then
     TimePoint firstPageAt{};        ///< of the current read
     TimePoint followingPeerUntil{}; ///< until when a peer is relied on to watch the table
@@ -66,7 +67,7 @@
     void finishRead();
     void continueAfterFirstCopy(std::uint64_t change);
     void handleFailure(const std::string &reason);
-    void startRetryTimer(int failuresInRow);
+    void startRetryTimer(int failuresInRow, milliseconds longest);
     void recordResponse();
 };
 
@@ -76,8 +77,9 @@
     return copy.change > lastChange && !hasMissingChanges;
 }
 
-TableWatcher::TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, Handlers handlers)
-    : d(std::make_unique<Private>(Private{context, client, store, std::move(table), wait, std::move(handlers)}))
+TableWatcher::TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, milliseconds longestRetry,
+                           Handlers handlers)
+    : d(std::make_unique<Private>(Private{context, client, store, std::move(table), wait, longestRetry, std::move(handlers)}))
 {
     d->next = std::make_unique<Timer>(context.loop, [this] {
         d->queryUnlessFollowing();
@@ -233,8 +235,9 @@
 
 void TableWatcher::Private::queryStore()
 {
+    queriedAt = context.clock.now();
     if (isWaitingForPeer || isStarting) {
-        contact.askedAt = context.clock.now();
+        contact.askedAt = queriedAt;
     }
     isWaitingForPeer = false;
     isStarting = false;
@@ -245,7 +248,7 @@
     const milliseconds thisWait = failures > 0 ? milliseconds(0) : wait;
     HttpClientRequest request =
         isWatching ? context.adapter.watchRowsRequest(table, revision, thisWait) : context.adapter.readRowsRequest({table, readFrom, {}});
-    request.timeout = isWatching && failures == 0 ? thisWait + watchMargin : readTimeout;
+    request.timeout = !isWatching ? readTimeout : failures == 0 ? thisWait + watchMargin : lostWatchTimeout;
     call = client.fetch(store, std::move(request), [this](const HttpResult &result) {
         handleResponse(result);
     });
@@ -258,7 +261,7 @@
         logEvent(Event::WatchReset, {{"table", table}, {"revision", std::to_string(revision)}});
         recordResponse();
         isWatching = false;
-        return ++resetsInRow == 1 ? queryStore() : startRetryTimer(resetsInRow - 1);
+        return ++resetsInRow == 1 ? queryStore() : startRetryTimer(resetsInRow - 1, maxRetryInterval);
     }
     if (!result.isOk()) {
         return handleFailure(result.failure ? result.failure->error.toString() : "status " + std::to_string(result.status));
@@ -384,16 +387,14 @@
         logEvent(Event::StoreUnreachable, {{"table", table}, {"reason", reason}});
         handlers.onStoreReachable(false);
     }
-    startRetryTimer(failures);
+    startRetryTimer(failures, longestRetry);
 }
 
-/// Queries the store after a pause that doubles with each consecutive failure.
-void TableWatcher::Private::startRetryTimer(int failuresInRow)
+/// Queries the store again once the interval since the last call has passed.
+void TableWatcher::Private::startRetryTimer(int failuresInRow, milliseconds longest)
 {
-    const int doublings = std::min(failuresInRow - 1, 4);
-    const milliseconds pause = std::min(minRetryPause * (1 << doublings), maxRetryPause);
-    std::uniform_real_distribution<double> jitter(0.7, 1.3);
-    next->start(std::chrono::duration_cast<microseconds>(pause * jitter(context.random)));
+    const milliseconds interval = retryInterval(failuresInRow, longest, drawShare(context.random));
+    next->start(std::chrono::duration_cast<microseconds>(std::max(queriedAt + interval - context.clock.now(), TimePoint::duration::zero())));
 }
 
 } // namespace Parsleytrail
--- a/src/relay/table_watcher.h
+++ b/src/relay/table_watcher.h
@@ -32,8 +32,9 @@
         std::function<void(bool isReachable)> onStoreReachable; ///< the store was lost or has recovered
     };
 
-    /// A watch without changes is answered after `wait`.
-    TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, Handlers handlers);
+    /// A watch without changes is answered after `wait`. A store that fails is called again within `longestRetry`.
+    TableWatcher(RelayContext &context, HttpClient &client, const Address &store, std::string table, milliseconds wait, milliseconds longestRetry,
+                 Handlers handlers);
     ~TableWatcher();
     /// Reads the table, or first waits up to `copyWait` for a peer's copy of it.
     void start(milliseconds copyWait);
--- a/tests/relay_store_silence_test.cpp
+++ b/tests/relay_store_silence_test.cpp
@@ -1,4 +1,5 @@
 // A store that falls silent for one relay alone, while the others reach it.
+#include "policy/store_outage.h"
 #include "policy/table_source.h"
 #include "tests/relay_system.h"
 
@@ -144,6 +145,35 @@
     BOOST_TEST(contactLimits(configurationBound).maxSilence + messagesUntilKnown * exchangeInterval + waits < configurationBound);
 }
 
+/// Guards against requests to a target that was removed while its relay, which knows of no other, was cut off: it noticed the end of the cut late,
+/// and then kept the target as if the store had been away.
+BOOST_AUTO_TEST_CASE(aRemovedTargetIsNotKeptUntilTheRelayIsInTouchAgain)
+{
+    constexpr milliseconds inTouchAfter{3000}; // the end of a disruption, in the deployments with the shortest time
+    constexpr milliseconds callTime{20};       // of the first call that the store answers again
+    for (const double share : {0.0, 0.5, 0.999}) {
+        for (int failures = 1; failures < 20; ++failures) {
+            const milliseconds untilNoticed = std::max(retryInterval(failures, maxTargetsRetryInterval, share), lostWatchTimeout);
+            BOOST_TEST(untilNoticed + callTime + expiredEntryGrace < inTouchAfter);
+        }
+    }
+}
+
+/// Guards against a store that is called without a pause while it refuses all calls at once, and by all relays in the same moment.
+BOOST_AUTO_TEST_CASE(aFailingStoreIsCalledLessAndLessOften)
+{
+    constexpr double lastShare = 0.999;
+    milliseconds earlier{0};
+    for (int failures = 1; failures < 6; ++failures) {
+        const milliseconds interval = retryInterval(failures, maxRetryInterval, 0);
+        BOOST_TEST(interval > earlier);
+        BOOST_TEST(retryInterval(failures, maxRetryInterval, lastShare) > interval * 3 / 2);
+        earlier = interval;
+    }
+    BOOST_TEST(retryInterval(1000, maxRetryInterval, lastShare) <= maxRetryInterval);
+    BOOST_TEST(retryInterval(1000, maxTargetsRetryInterval, 0) >= milliseconds(200));
+}
+
 BOOST_AUTO_TEST_CASE(aStoreIsSilentOnceItHasNotAnsweredForTooLong)
 {
     const TimePoint asked{std::chrono::hours(1)};
--- a/tests/table_watcher_test.cpp
+++ b/tests/table_watcher_test.cpp
@@ -50,7 +50,7 @@
     TableWatcher watcher;
 
     explicit View(StoreAndLoop &system)
-        : watcher(system.context, system.client, system.address, table, milliseconds(300),
+        : watcher(system.context, system.client, system.address, table, milliseconds(300), milliseconds(300),
                   {[this](const Row &row) {
                        keys.insert(row.key);
                    },
