A response cut by a reset is not complete, also while the request is still being sent

Cause: a socket reports its pending error once. write() got it from send() and ignored it, relying on the socket becoming readable; recv() then returned what was received before, and 0, which counts as an orderly end. Change: Connection keeps that sending failed and whether by a reset; its end is Reset then. EPIPE is the exception: the peer had ended its direction before, so that the answer is whole. Nothing more is sent, and a failed socket is not watched for writing, which spun while reading was paused.

--- a/src/relay/connection.cpp
+++ b/src/relay/connection.cpp
@@ -90,6 +90,8 @@
     bool isPaused = false;
     bool isClosing = false; ///< closeAfterWriting() was called
     bool hasWritten = false;
+    bool hasSendFailed = false; ///< nothing can be sent any more; what was received may still be read
+    bool wasReset = false;      ///< sending has taken the error of the socket: reading will show an orderly end
     std::size_t inputLimit = defaultInputLimit;
     std::size_t receiveBufferBytes = 0; ///< that the kernel may hold while the connection is not read
     MemoryUse memoryUse = MemoryUse::Working;
@@ -195,7 +197,7 @@
         if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
-        endConnection(*self, data.handlers, size == 0 ? ConnectionEnd::PeerClosed : ConnectionEnd::Reset);
+        endConnection(*self, data.handlers, size == 0 && !data.wasReset ? ConnectionEnd::PeerClosed : ConnectionEnd::Reset);
     };
     const auto onWritable = [](evutil_socket_t, short, void *arg) {
         const auto self = static_cast<Connection *>(arg)->shared_from_this();
@@ -272,9 +274,10 @@
     }
     std::size_t sent = 0;
     if (!bytes.empty() && d->isConnected) {
-        const ssize_t size = send(d->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        // Errors are ignored here: a failed socket becomes readable, so that onEnd is called from the loop and never from
-        // within write().
+        const ssize_t size = d->hasSendFailed ? 0 : send(d->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (size < 0) {
+            recordSendError(errno);
+        }
         sent = size > 0 ? size : 0;
         d->hasWritten = d->hasWritten || sent > 0;
     }
@@ -289,7 +292,9 @@
         d->timeoutTimer->start(unsentBytes() > 0 ? closingStallTime : lingerTime);
     }
     if (unsentBytes() > 0) {
-        event_add(d->writeEvent, nullptr);
+        if (!d->hasSendFailed) {
+            event_add(d->writeEvent, nullptr);
+        }
         d->updateCharge();
         return;
     }
@@ -305,6 +310,18 @@
     }
 }
 
+/// A failed socket becomes readable, so that onEnd is called from the loop and never from within write(). The error is reported only once, here:
+/// afterwards reading shows what was received and then an orderly end, also where the peer has reset the connection.
+void Connection::recordSendError(int error)
+{
+    if (error == EAGAIN || error == EINTR) {
+        return;
+    }
+    d->hasSendFailed = true;
+    // EPIPE: the peer had ended its direction in an orderly way before it reset the connection, and everything it sent was received.
+    d->wasReset = error != EPIPE;
+}
+
 /// Drops the part of the output that was sent, once it is more than what is left: a stream's output would grow for as long as its
 /// client never reads all.
 void Connection::discardSentBytes()
--- a/src/relay/connection.h
+++ b/src/relay/connection.h
@@ -20,7 +20,7 @@
 
 /// How a connection ended.
 enum class ConnectionEnd : std::uint8_t {
-    PeerClosed,    ///< the peer closed it with an orderly shutdown
+    PeerClosed,    ///< the peer closed it with an orderly shutdown: all that it sent was received
     Reset,         ///< it was reset or failed in another way
     NotEstablished ///< it could not be established
 };
@@ -78,6 +78,7 @@
 private:
     struct Private;
     explicit Connection(ClientMemory *memory);
+    void recordSendError(int error);
     void discardSentBytes();
     std::unique_ptr<Private> d;
 };
--- a/stand-ins/raw_target.h
+++ b/stand-ins/raw_target.h
@@ -16,7 +16,7 @@
 /// A request as received.
 struct RawRequest {
     std::string head;   ///< request line and header fields
-    std::string body;   ///< complete body, without transfer coding
+    std::string body;   ///< complete body, without transfer coding; empty if the target responds before it
     int connection = 0; ///< number of its connection, in the order of acceptance, from 1
 
     /// Value of a header field; empty if there is none.
@@ -25,11 +25,19 @@
 
 /// How the target responds to a request.
 struct RawReply {
-    std::string bytes;     ///< sent unchanged
-    bool closes = false;   ///< closes the connection after the bytes are written
-    bool resets = false;   ///< resets the connection after the bytes are passed to it
-    bool crashes = false;  ///< the target crashes instead of sending the bytes
-    milliseconds delay{0}; ///< time before the bytes are sent
+    std::string bytes;            ///< sent unchanged
+    bool closes = false;          ///< closes the connection after the bytes are written
+    bool resets = false;          ///< resets the connection after the bytes are passed to it
+    bool crashes = false;         ///< the target crashes instead of sending the bytes
+    milliseconds delay{0};        ///< time before the bytes are sent
+    milliseconds resetDelay{0};   ///< time from the bytes until the reset
+    bool endsBeforeReset = false; ///< an orderly end of the response comes before the reset
+};
+
+struct RawTargetOptions {
+    /// Responds to a long request when its head has arrived, and reads nothing more on that connection. Buffers and segments are small as in
+    /// a real network, so that the peer still has a part of the request to send.
+    bool respondsBeforeLongBodies = false;
 };
 
 /// A target that listens on a free local port and runs on the caller's event loop.
@@ -39,7 +47,7 @@
     /// Called for each complete request; its result is sent.
     using Handler = std::function<RawReply(const RawRequest &)>;
 
-    RawTarget(EventLoop &loop, Handler handler);
+    RawTarget(EventLoop &loop, Handler handler, RawTargetOptions options = {});
     ~RawTarget();
     Address address() const;
     /// All complete requests received, in order.
--- a/tests/relay_system.cpp
+++ b/tests/relay_system.cpp
@@ -196,9 +196,9 @@
         time);
 }
 
-StandIn::RawTarget &RelaySystem::addTarget(const std::string &id, StandIn::RawTarget::Handler handler)
+StandIn::RawTarget &RelaySystem::addTarget(const std::string &id, StandIn::RawTarget::Handler handler, StandIn::RawTargetOptions options)
 {
-    d->targets.push_back(std::make_unique<StandIn::RawTarget>(d->loop, std::move(handler)));
+    d->targets.push_back(std::make_unique<StandIn::RawTarget>(d->loop, std::move(handler), options));
     registerTarget(id, "shop", d->targets.back()->address());
     return *d->targets.back();
 }
@@ -317,12 +317,13 @@
         routes.push_back(batch);
         engine["chunk"] = 512;
     }
-    const Json configuration = {{"version", version},
-                                {"routes", routes},
-                                {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
-                                                          {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
-                                {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", 65536}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
-                                {"tenants", Json::array({{{"name", "studio"}, {"apiKeys", keys}}})}};
+    const Json configuration = {
+        {"version", version},
+        {"routes", routes},
+        {"services", Json::array({{{"name", "shop"}, {"healthPath", "/health"}, {"maxConnections", 100}},
+                                  {{"name", "chat"}, {"healthPath", "/health"}, {"maxConnections", 100}, {"engine", engine}}})},
+        {"limits", {{"maxHeaderBytes", 4096}, {"maxBodyBytes", d->options.maxBodyBytes}, {"headerTimeoutMs", 400}, {"idleTimeoutMs", 3000}}},
+        {"tenants", Json::array({{{"name", "studio"}, {"apiKeys", keys}}})}};
     d->store.put("op", "config", configuration.dump());
 }
 
--- a/tests/relay_system.h
+++ b/tests/relay_system.h
@@ -48,6 +48,7 @@
     milliseconds callTimeout{2000};                 ///< timeout of the routes of plain services
     bool hasPriorities = false;                     ///< adds a route of less urgent streams; all stream routes have a target gap of 250 ms
     int slots = 6;                                  ///< concurrent requests of each target
+    int maxBodyBytes = 65536;                       ///< of a request, as configured
     double prefillTokensPerMs = 100;                ///< of the engines, as configured
     bool hasStorePaths = false;                     ///< each relay reaches the store by a path of its own, see cutStore()
     int talkPriority = 1;                           ///< priority of the route /talk/; that of /chat/ is 1
@@ -68,7 +69,7 @@
     void idle(milliseconds time);
 
     /// Adds and registers a target of the plain service "shop" whose responses a test scripts.
-    StandIn::RawTarget &addTarget(const std::string &id, StandIn::RawTarget::Handler handler);
+    StandIn::RawTarget &addTarget(const std::string &id, StandIn::RawTarget::Handler handler, StandIn::RawTargetOptions options = {});
     /// Adds or changes a target's row in the registry.
     void registerTarget(const std::string &id, const std::string &service, const Address &address, const std::string &state = "ready");
     void registerEngine(const std::string &id, const std::string &state = "ready");
