The strict reader of HTTP/1.1 messages moves to src/http

The HTTP client needs it too. Nothing but the path and the includes changes. src/relay/http_message.h -> src/http/http_message.h src/relay/http_message.cpp -> src/http/http_message.cpp

--- a/src/relay/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -1,5 +1,5 @@
 // Index: [SECTION] Heads, [SECTION] Bodies, [SECTION] Events
-#include "relay/http_message.h"
+#include "http/http_message.h"
 
 #include "base/text.h"
 
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -4,8 +4,8 @@
 // certainly never ran. Each connection serves one request at a time; pipelined requests wait in its input buffer.
 #pragma once
 
+#include "http/http_message.h"
 #include "relay/connection.h"
-#include "relay/http_message.h"
 #include "wire/memory_guard.h"
 
 #include <functional>
--- a/src/relay/stream_demand.h
+++ b/src/relay/stream_demand.h
@@ -1,8 +1,8 @@
 // Reads the expected size of a streamed request from its header fields.
 #pragma once
 
+#include "http/http_message.h"
 #include "policy/chain_selection.h"
-#include "relay/http_message.h"
 #include "relay/platform_adapter.h"
 
 namespace Parsleytrail
--- a/src/relay/target_exchange.h
+++ b/src/relay/target_exchange.h
@@ -3,8 +3,8 @@
 // the request.
 #pragma once
 
+#include "http/http_message.h"
 #include "relay/connection.h"
-#include "relay/http_message.h"
 
 #include <functional>
 #include <memory>
--- a/stand-ins/chain_engines.cpp
+++ b/stand-ins/chain_engines.cpp
@@ -2,8 +2,8 @@
 #include "stand-ins/chain_engines.h"
 
 #include "base/text.h"
+#include "http/http_message.h"
 #include "relay/connection.h"
-#include "relay/http_message.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/stand-ins/raw_target.h
+++ b/stand-ins/raw_target.h
@@ -2,8 +2,8 @@
 // belong to no request.
 #pragma once
 
+#include "http/http_message.h"
 #include "relay/connection.h"
-#include "relay/http_message.h"
 
 #include <functional>
 #include <memory>
--- a/tests/fuzz_http_message.cpp
+++ b/tests/fuzz_http_message.cpp
@@ -1,6 +1,6 @@
 // libFuzzer target for the relay's parser of heads, bodies and events. Decoding a body in one piece and byte by byte must give
 // the same result.
-#include "relay/http_message.h"
+#include "http/http_message.h"
 
 #include <cstddef>
 
--- a/tests/http_message_test.cpp
+++ b/tests/http_message_test.cpp
@@ -1,5 +1,5 @@
 // The relay's HTTP parser: accepted and rejected messages, and that the result does not depend on how the bytes are split.
-#include "relay/http_message.h"
+#include "http/http_message.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
--- a/tests/relay_endless_bytes_test.cpp
+++ b/tests/relay_endless_bytes_test.cpp
@@ -1,5 +1,5 @@
 // Targets that send bytes which are no answer, and don't stop.
-#include "relay/http_message.h"
+#include "http/http_message.h"
 #include "stand-ins/registry_entry.h"
 #include "tests/relay_system.h"
 
