A status line with a status of four digits, or a control byte, is no answer

Cause: the reader took the first three digits of the status line and did not look at the rest. Change: the status is three digits from 100 to 599, then the line ends, or a blank and a reason without control bytes follow.

--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -148,6 +148,20 @@
     return isRequest && parseFields(head, lineEnd + 2) ? ParseResult::Complete : ParseResult::Malformed;
 }
 
+/// Parses HttpHead::statusLine: the version, a status of three digits, and a reason, which may be missing.
+static bool parseStatusLine(HttpHead &head)
+{
+    constexpr std::size_t statusAt = 9; // after "HTTP/1.1 "
+    constexpr std::size_t statusEnd = statusAt + 3;
+    const std::string_view line = head.statusLine;
+    if (line.size() < statusEnd || !parseVersion(line.substr(0, statusAt - 1), head.isHttp11) || line[statusAt - 1] != ' ') {
+        return false;
+    }
+    const bool isStatus = parseNumber(line.substr(statusAt, statusEnd - statusAt), head.status) && head.status >= 100 && head.status <= 599;
+    const std::string_view reason = line.substr(statusEnd);
+    return isStatus && (reason.empty() || (reason.front() == ' ' && isPrintable(reason, true)));
+}
+
 ParseResult parseResponseHead(std::string_view input, std::size_t maxBytes, HttpHead &head)
 {
     // Reject bytes that can't become a response immediately: a peer that sends something else than HTTP may never send the end
@@ -162,10 +176,7 @@
     }
     const std::size_t lineEnd = head.text.find("\r\n");
     head.statusLine = std::string_view(head.text).substr(0, lineEnd);
-    constexpr std::size_t statusAt = 9; // after "HTTP/1.1 "
-    const bool hasStatus = head.statusLine.size() >= statusAt + 3 && parseVersion(head.statusLine.substr(0, 8), head.isHttp11) && head.statusLine[8] == ' '
-                           && parseNumber(head.statusLine.substr(statusAt, 3), head.status) && head.status >= 100 && head.status <= 599;
-    return hasStatus && parseFields(head, lineEnd + 2) ? ParseResult::Complete : ParseResult::Malformed;
+    return parseStatusLine(head) && parseFields(head, lineEnd + 2) ? ParseResult::Complete : ParseResult::Malformed;
 }
 
 // [SECTION] Bodies
--- a/tests/http_message_test.cpp
+++ b/tests/http_message_test.cpp
@@ -58,6 +58,28 @@
     {"chunked in HTTP/1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"},
 };
 
+/// Response heads with a status that is none, or fields that two programs could interpret differently.
+const BadHead badResponses[] = {
+    {"status 000", "HTTP/1.1 000 OK\r\n\r\n"},
+    {"status 099", "HTTP/1.1 099 OK\r\n\r\n"},
+    {"status 600", "HTTP/1.1 600 OK\r\n\r\n"},
+    {"status of four digits", "HTTP/1.1 2000 OK\r\n\r\n"},
+    {"status of two digits", "HTTP/1.1 20 OK\r\n\r\n"},
+    {"status with a letter", "HTTP/1.1 200x OK\r\n\r\n"},
+    {"status with a control byte", "HTTP/1.1 200\x01\r\n\r\n"},
+    {"status with a tab", "HTTP/1.1 200\tOK\r\n\r\n"},
+    {"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n\r\n"},
+    {"line feed in the reason", "HTTP/1.1 200 OK\nX-A: b\r\n\r\n"},
+    {"two blanks before the status", "HTTP/1.1  200 OK\r\n\r\n"},
+    {"blank in a name", "HTTP/1.1 200 OK\r\nX A: b\r\n\r\n"},
+    {"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: b\r\n\r\n"},
+    {"blank before the colon", "HTTP/1.1 200 OK\r\nX-A : b\r\n\r\n"},
+    {"no name", "HTTP/1.1 200 OK\r\n: b\r\n\r\n"},
+    {"no colon", "HTTP/1.1 200 OK\r\nX-A\r\n\r\n"},
+    {"control byte in a value", "HTTP/1.1 200 OK\r\nX-A: b\x01\r\n\r\n"},
+    {"folded line", "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n\r\n"},
+};
+
 const BadHead badChunks[] = {
     {"no digits", "x\r\nab\r\n"},
     {"negative", "-1\r\n"},
@@ -97,6 +119,20 @@
     BOOST_TEST((parseRequestHead(bad.text, 4096, head) == ParseResult::Malformed));
 }
 
+/// Guards against a failing target's bytes that reach a caller as a response.
+BOOST_DATA_TEST_CASE(responseHeadsThatAreNoneAreRefused, boost::unit_test::data::make(badResponses), bad)
+{
+    HttpHead head;
+    BOOST_TEST((parseResponseHead(bad.text, 4096, head) == ParseResult::Malformed));
+}
+
+BOOST_DATA_TEST_CASE(statusLinesMayLackAReason, boost::unit_test::data::make({"HTTP/1.1 204\r\n\r\n", "HTTP/1.1 204 \r\n\r\n"}), text)
+{
+    HttpHead head;
+    BOOST_REQUIRE((parseResponseHead(text, 4096, head) == ParseResult::Complete));
+    BOOST_TEST(head.status == 204);
+}
+
 BOOST_DATA_TEST_CASE(ambiguousLengthsAreRefused, boost::unit_test::data::make(badFramings), bad)
 {
     HttpHead head;
