The HTTP client refuses what is no response: odd heads, ambiguous lengths, lines without end

Probes, orders and the store's answers are read by the same client. A sidecar kept what an application sent between chunks until its memory was used up. Cause: evhttp takes any number as a status and any text as a field, and reads lines between chunks without a bound; nothing checked what it reported. Change: each response is checked by the strict reader while evhttp reads it. Chunk data is not copied for it. A chunk of more than 128 MiB, which evhttp would hold whole, is refused.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,8 @@
 // Index: [SECTION] Connections, [SECTION] One request, [SECTION] HttpCall, [SECTION] HttpClient
 #include "http/client.h"
 
+#include "http/http_message.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -10,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -18,6 +21,93 @@
 
 // [SECTION] Connections
 
+constexpr std::size_t maxIdleConnections = 32;  ///< kept open for each address
+constexpr std::size_t maxHeadBytes = 64 * 1024; ///< of a response, and of its trailer
+
+/// evhttp holds a chunk until it has all of it.
+constexpr std::uint64_t maxChunkBytes = 128 << 20;
+
+/// Checks a response while evhttp reads it, which takes any number for a status, any text for a header field, and lines of any length
+/// between chunks.
+struct ResponseCheck {
+    enum class State : std::uint8_t { InHead, InChunks, Sound, Malformed };
+
+    State state = State::InHead;
+    bool isHead = false;    ///< the request's method is HEAD
+    std::string bytes;      ///< received and not checked yet
+    BodyReader chunks;      ///< of a chunked body
+    std::string chunkBytes; ///< read by `chunks`; not used
+
+    bool hasSoundHead() const
+    {
+        return state == State::InChunks || state == State::Sound;
+    }
+    void advance(evbuffer *input, std::size_t added);
+    void checkHead();
+    void checkChunks();
+};
+
+/// Takes the last `added` bytes of `input`.
+void ResponseCheck::advance(evbuffer *input, std::size_t added)
+{
+    if (state == State::Sound || state == State::Malformed) {
+        return;
+    }
+    if (state == State::InChunks && bytes.empty() && chunks.isInChunk) {
+        const std::size_t skipped = std::min<std::uint64_t>(chunks.remaining, added);
+        chunks.remaining -= skipped;
+        added -= skipped;
+    }
+    if (added == 0) {
+        return;
+    }
+    const std::size_t before = bytes.size();
+    evbuffer_ptr from{};
+    bytes.resize(before + added);
+    evbuffer_ptr_set(input, &from, evbuffer_get_length(input) - added, EVBUFFER_PTR_SET);
+    evbuffer_copyout_from(input, &from, bytes.data() + before, added);
+    const bool hasNewLine = bytes.find('\n', before) != std::string::npos;
+    if (state == State::InHead && (hasNewLine || bytes.size() > maxHeadBytes)) {
+        checkHead();
+    }
+    if (state == State::InChunks) {
+        checkChunks();
+    }
+}
+
+/// Checks the head, after interim responses.
+void ResponseCheck::checkHead()
+{
+    HttpHead head;
+    ParseResult result = parseResponseHead(bytes, maxHeadBytes, head);
+    while (result == ParseResult::Complete && head.status < 200) {
+        bytes.erase(0, head.text.size());
+        result = parseResponseHead(bytes, maxHeadBytes, head);
+    }
+    if (result == ParseResult::Incomplete) {
+        return;
+    }
+    const BodyPlan plan = result == ParseResult::Complete ? planResponseBody(head, isHead) : BodyPlan{{}, true};
+    chunks = plan.reader;
+    state = plan.isAmbiguous ? State::Malformed : chunks.framing == BodyFraming::Chunked ? State::InChunks : State::Sound;
+    if (state == State::InChunks) {
+        bytes.erase(0, head.text.size());
+    } else {
+        bytes = {};
+    }
+}
+
+void ResponseCheck::checkChunks()
+{
+    bytes.erase(0, readBody(chunks, bytes, chunkBytes));
+    chunkBytes.clear();
+    if (chunks.isMalformed || chunks.remaining > maxChunkBytes) {
+        state = State::Malformed;
+    } else if (chunks.isComplete) {
+        state = State::Sound;
+    }
+}
+
 /// A persistent connection and the state of its current request.
 struct HttpConnection {
     evhttp_connection *raw = nullptr; ///< owned connection of evhttp
@@ -25,8 +115,10 @@
     bool isFresh = true;              ///< the current request is the first on this connection
     bool hasWritten = false;          ///< a byte of the current request was written to the socket
     std::size_t receivedBytes = 0;    ///< since the start of the current request, with heads and framing
-    std::size_t maxReceivedBytes = 0; ///< with more bytes, onExcess is called
-    std::function<void()> onExcess;   ///< called once; must not free the connection
+    std::size_t maxReceivedBytes = 0; ///< with more bytes, onRefused is called
+    ResponseCheck check;              ///< of the current response
+    /// Called once if the bytes received are no response, with the reason; must not free the connection.
+    std::function<void(const char *)> onRefused;
 
     ~HttpConnection()
     {
@@ -35,9 +127,6 @@
 };
 using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
 
-constexpr std::size_t maxIdleConnections = 32;  ///< kept open for each address
-constexpr std::size_t maxHeadBytes = 64 * 1024; ///< of a response, and of its trailer
-
 struct HttpCallState;
 
 /// State of the client: idle connections and requests in progress.
@@ -75,11 +164,15 @@
         }
     };
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection->raw)), onOutput, connection.get());
-    const auto onInput = [](evbuffer *, const evbuffer_cb_info *info, void *arg) {
+    const auto onInput = [](evbuffer *input, const evbuffer_cb_info *info, void *arg) {
         auto *self = static_cast<HttpConnection *>(arg);
+        if (info->n_added > 0) {
+            self->check.advance(input, info->n_added);
+        }
         self->receivedBytes += info->n_added;
-        if (self->receivedBytes > self->maxReceivedBytes && self->onExcess) {
-            std::exchange(self->onExcess, nullptr)();
+        const bool isMalformed = self->check.state == ResponseCheck::State::Malformed;
+        if ((isMalformed || self->receivedBytes > self->maxReceivedBytes) && self->onRefused) {
+            std::exchange(self->onRefused, nullptr)(isMalformed ? "malformed answer" : "answer without end");
         }
     };
     evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection->raw)), onInput, connection.get());
@@ -168,6 +261,9 @@
         return;
     }
     hasHead = true;
+    if (!connection->check.hasSoundHead()) {
+        return failWith("malformed answer", false);
+    }
     HttpHeaders headers;
     const evkeyvalq *fields = evhttp_request_get_input_headers(raw);
     for (const evkeyval *field = fields->tqh_first; field; field = field->next.tqe_next) {
@@ -186,6 +282,9 @@
         return;
     }
     handleHead();
+    if (isOver) {
+        return;
+    }
     bodyBytes += size;
     if (bodyBytes > maxBodyBytes) {
         return failWith("answer over " + std::to_string(maxBodyBytes) + " bytes", false);
@@ -223,6 +322,7 @@
         return;
     }
     self->raw = nullptr;
+    self->connection->onRefused = nullptr;
     self->client->loop.defer([client = self->client->weak_from_this(), connection = self->connection] {
         if (const auto state = client.lock()) {
             state->releaseConnection(connection);
@@ -300,15 +400,17 @@
     state->handlers = std::move(handlers);
     state->maxBodyBytes = request.maxBodyBytes;
     state->connection = d->acquireConnection(address, request.useFreshConnection);
+    state->connection->check = {};
+    state->connection->check.isHead = request.method == "HEAD";
     // A body of single-byte chunks has several times its own length. Interim responses have no body at all.
     constexpr std::size_t framingFactor = 8;
     const bool isBounded = request.maxBodyBytes < (SIZE_MAX - maxHeadBytes) / framingFactor;
     state->connection->maxReceivedBytes = isBounded ? request.maxBodyBytes * framingFactor + maxHeadBytes : SIZE_MAX;
-    state->connection->onExcess = [weak = std::weak_ptr(call->d), &loop = d->loop] {
-        loop.defer([weak] {
+    state->connection->onRefused = [weak = std::weak_ptr(call->d), &loop = d->loop](const char *reason) {
+        loop.defer([weak, reason] {
             const auto self = weak.lock();
             if (self && !self->isOver) {
-                self->failWith("answer without end", false);
+                self->failWith(reason, false);
             }
         });
     };
