The HTTP client does not use a connection again on which more than the response arrived

Cause: evhttp leaves such bytes in the connection's buffer and reads them as the next response. Change: a connection with bytes behind its response is closed instead of kept. Result: HttpClientTest/bytesBehindAResponseAreNotTheNextResponse failed before ("one1", "other"), not now.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -324,7 +324,9 @@
     self->raw = nullptr;
     self->connection->onRefused = nullptr;
     self->client->loop.defer([client = self->client->weak_from_this(), connection = self->connection] {
-        if (const auto state = client.lock()) {
+        // Bytes behind the response belong to no request: the next one must not get them as its own response.
+        const bool hasMore = evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(connection->raw))) > 0;
+        if (const auto state = client.lock(); state && !hasMore) {
             state->releaseConnection(connection);
         }
     });
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -215,4 +215,33 @@
     BOOST_TEST(!result.failure->isTimeout);
 }
 
+/// Guards against a caller that gets what a server sent behind the response to an earlier request.
+BOOST_AUTO_TEST_CASE(bytesBehindAResponseAreNotTheNextResponse)
+{
+    EventLoop loop;
+    int number = 0;
+    StandIn::RawTarget server(loop, [&number](const RawRequest &) {
+        const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" + std::string(++number == 1 ? "one1" : "two2");
+        return RawReply{own + (number == 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother" : "")};
+    });
+    HttpClient client(loop);
+    std::vector<std::string> bodies;
+    for (std::size_t i = 0; i < 2; ++i) {
+        client.fetch(server.address(), {}, [&](const HttpResult &received) {
+            bodies.push_back(received.body);
+        });
+        BOOST_REQUIRE(loop.runUntil(
+            [&] {
+                return bodies.size() == i + 1;
+            },
+            milliseconds(10000)));
+        loop.runUntil(
+            [] {
+                return false;
+            },
+            milliseconds(20));
+    }
+    BOOST_TEST((bodies == std::vector<std::string>{"one1", "two2"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
