Odd rows and entries of the store's lists end no entry and no sidecar

Tried on: relays hold; entries and sidecars ended with a json type_error at an instance, a response of the store, or a row of the configuration, its history, keyed calls or served work of another form. Ports of 70000, -1, 0 and 80.5 were taken. Cause: the readers checked that a text is JSON, not the types in it. nlohmann::json throws then, and nobody caught it. Change: store/json_rows.h parses, checks and decodes in one place. A response that is none of the store's protocol counts as unavailable; an odd instance, row or item is passed over and hides no other. A row of the current configuration without digest or objects is none: it put an empty configuration in force (callers got 401).

--- a/src/entry/configuration_manager.cpp
+++ b/src/entry/configuration_manager.cpp
@@ -3,6 +3,8 @@
 
 #include "base/digest.h"
 #include "base/log.h"
+#include "base/text.h"
+#include "store/json_rows.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/time.h>
@@ -41,19 +43,20 @@
 
 bool decodeCurrent(const Row &row, CurrentRow &current)
 {
-    const json value = json::parse(row.value, nullptr, false);
-    if (!value.is_object()) {
-        return false;
-    }
-    current.version.value = row.version;
-    current.digest = value.value("digest", "");
-    current.objects = value.value("objects", std::vector<std::string>());
-    current.writeId = value.value("write", "");
-    return true;
+    return decodeObject(row.value, [&](const json &value) {
+        current.version.value = row.version;
+        current.digest = value.value("digest", "");
+        current.objects = value.value("objects", std::vector<std::string>());
+        current.writeId = value.value("write", "");
+        // A row that names nothing would otherwise read as a configuration without workspaces, and put that in force.
+        if (current.digest.empty() || current.objects.empty()) {
+            throw std::invalid_argument("no configuration");
+        }
+    });
 }
 
 /// Encodes a change as an object; an update from version 0 is a snapshot.
-std::string encodeObject(const ConfigurationUpdate &update)
+std::string encodeChange(const ConfigurationUpdate &update)
 {
     json sections = json::object();
     for (const SectionText &section : update.sections) {
@@ -62,18 +65,15 @@
     return json{{"sections", sections}, {"removed", update.removed}, {"digest", update.digest}}.dump();
 }
 
-bool decodeObject(const std::string &text, ConfigurationUpdate &update)
+bool decodeChange(const std::string &text, ConfigurationUpdate &update)
 {
-    const json value = json::parse(text, nullptr, false);
-    if (!value.is_object() || !value.contains("sections")) {
-        return false;
-    }
-    for (const auto &[name, section] : value["sections"].items()) {
-        update.sections.push_back({name, section.get<std::string>()});
-    }
-    update.removed = value.value("removed", std::vector<std::string>());
-    update.digest = value.value("digest", "");
-    return true;
+    return decodeObject(text, [&update](const json &value) {
+        for (const auto &[name, section] : value.at("sections").items()) {
+            update.sections.push_back({name, section.get<std::string>()});
+        }
+        update.removed = value.value("removed", std::vector<std::string>());
+        update.digest = value.value("digest", "");
+    });
 }
 
 std::string historyKey(ConfigurationVersion version)
@@ -199,7 +199,7 @@
             return;
         }
         ConfigurationUpdate update;
-        const bool isRead = status == StoreStatus::Ok && sha256Hex(text) == digest && decodeObject(text, update);
+        const bool isRead = status == StoreStatus::Ok && sha256Hex(text) == digest && decodeChange(text, update);
         if (!isRead) {
             return endPoll(); // the next poll tries again
         }
@@ -244,7 +244,7 @@
     ConfigurationLog step;
     recordChange(step, configuration, pending->wanted);
     const ConfigurationVersion base = isSnapshot ? ConfigurationVersion{} : configuration.version;
-    pending->object = encodeObject(makeUpdate(pending->wanted, step, base, SectionScope::All));
+    pending->object = encodeChange(makeUpdate(pending->wanted, step, base, SectionScope::All));
     pending->next.version = pending->wanted.version;
     pending->next.digest = pending->wanted.digest;
     pending->next.writeId = randomHex();
@@ -313,8 +313,10 @@
             return;
         }
         if (status == StoreStatus::Ok) {
-            const json value = json::parse(read.value, nullptr, false);
-            const bool isMine = value.is_object() && value.value("write", "") == pending->next.writeId;
+            bool isMine = false;
+            decodeObject(read.value, [&](const json &value) {
+                isMine = value.value("write", "") == pending->next.writeId;
+            });
             return isMine ? accept(pending) : finish(pending, ApplyOutcome::Conflict, pending->next.version);
         }
         if (pending->attemptsLeft <= 0) {
@@ -396,12 +398,14 @@
     d->store.scanRows(historyTable, "", "", limit, [done = std::move(done)](StoreStatus status, const std::vector<Row> &rows) {
         std::vector<HistoryEntry> entries;
         for (const Row &row : rows) {
-            const json value = json::parse(row.value, nullptr, false);
-            if (value.is_object()) {
-                const ConfigurationVersion version{UINT64_MAX - std::strtoull(row.key.c_str(), nullptr, 10)};
-                entries.push_back({version, value.value("digest", ""), value.value("entry", ""), value.value("time", ""),
-                                   value.value("changes", std::vector<std::string>())});
+            std::uint64_t inverted = 0;
+            if (!parseNumber(row.key, inverted)) {
+                continue;
             }
+            decodeObject(row.value, [&](const json &value) {
+                entries.push_back({ConfigurationVersion{UINT64_MAX - inverted}, value.value("digest", ""), value.value("entry", ""), value.value("time", ""),
+                                   value.value("changes", std::vector<std::string>())});
+            });
         }
         done(status, entries);
     });
--- a/src/entry/keyed_calls.cpp
+++ b/src/entry/keyed_calls.cpp
@@ -2,6 +2,7 @@
 #include "entry/keyed_calls.h"
 
 #include "base/digest.h"
+#include "store/json_rows.h"
 
 #include <nlohmann/json.hpp>
 
@@ -47,23 +48,27 @@
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+constexpr std::int64_t maxTimeMs = std::int64_t{1} << 52; ///< later times in a row are odd; sums of two don't overflow
+
 bool decodeRow(const std::string &text, KeyRow &row)
 {
-    const json value = json::parse(text, nullptr, false);
-    if (!value.is_object()) {
-        return false;
-    }
-    row.state = value.value("state", "");
-    row.bodyDigest = value.value("body", "");
-    row.writeId = value.value("write", "");
-    row.startedMs = value.value("started", std::int64_t{0});
-    row.deadlineMs = value.value("deadline", std::int64_t{0});
-    row.answer.status = value.value("status", 0);
-    row.answer.body = value.value("answer", "");
-    for (const json &header : value.value("headers", json::array())) {
-        row.answer.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
-    }
-    return true;
+    return decodeObject(text, [&row](const json &value) {
+        row.state = value.value("state", "");
+        row.bodyDigest = value.value("body", "");
+        row.writeId = value.value("write", "");
+        row.startedMs = integerOr(value, "started", std::int64_t{0});
+        row.deadlineMs = integerOr(value, "deadline", std::int64_t{0});
+        row.answer.status = integerOr(value, "status", 0);
+        row.answer.body = value.value("answer", "");
+        for (const json &header : arrayOr(value, "headers")) {
+            row.answer.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+        }
+        const bool isSound = row.startedMs >= 0 && row.startedMs <= maxTimeMs && row.deadlineMs >= 0 && row.deadlineMs <= maxTimeMs
+                             && (row.state != "answered" || (row.answer.status >= 200 && row.answer.status <= 599));
+        if (!isSound) {
+            throw std::out_of_range("row of a key");
+        }
+    });
 }
 
 std::string rowKey(const CallKey &key)
--- a/src/entry/usage_recorder.cpp
+++ b/src/entry/usage_recorder.cpp
@@ -1,6 +1,8 @@
 // Index: [SECTION] Rows, [SECTION] Counting, [SECTION] Writing, [SECTION] Reading
 #include "entry/usage_recorder.h"
 
+#include "store/json_rows.h"
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -52,12 +54,12 @@
     key.service.value = item.value("service", "");
     key.model.value = item.value("model", "");
     UsageCounters counters;
-    counters.answered = item.value("answered", std::uint64_t{0});
-    counters.refused = item.value("refused", std::uint64_t{0});
-    counters.unknown = item.value("unknown", std::uint64_t{0});
+    counters.answered = integerOr(item, "answered", std::uint64_t{0});
+    counters.refused = integerOr(item, "refused", std::uint64_t{0});
+    counters.unknown = integerOr(item, "unknown", std::uint64_t{0});
     counters.worth = item.value("worth", 0.0);
-    counters.promptTokens = item.value("promptTokens", std::uint64_t{0});
-    counters.completionTokens = item.value("completionTokens", std::uint64_t{0});
+    counters.promptTokens = integerOr(item, "promptTokens", std::uint64_t{0});
+    counters.completionTokens = integerOr(item, "completionTokens", std::uint64_t{0});
     counters.acceleratorMicros = item.value("acceleratorMicros", std::map<std::string, std::uint64_t>());
     addTo(ledger[key], counters);
 }
@@ -265,8 +267,13 @@
             for (const Row &row : rows) {
                 const json items = json::parse(row.value, nullptr, false);
                 const std::int64_t hour = std::strtoll(row.key.c_str(), nullptr, 10);
-                for (const json &item : items.is_array() ? items : json::array()) {
-                    decodeCounters(item, hour, ledger);
+                if (!items.is_array()) {
+                    continue;
+                }
+                for (const json &item : items) {
+                    decodeItem(item, [&](const json &counters) {
+                        decodeCounters(counters, hour, ledger);
+                    });
                 }
             }
             done(status, ledger);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -3,9 +3,11 @@
 #include "base/log.h"
 #include "policy/budget.h"
 #include "policy/circuit_breaker.h"
+#include "store/json_rows.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
 #include <nlohmann/json.hpp>
 
 namespace Parsleytrail
@@ -104,16 +106,27 @@
 
 Store::~Store() = default;
 
-/// Parses the body of a response. Returns false if it is not a JSON object; callers then report Unavailable.
-static bool parseResponse(const std::string &text, json &response)
+/// Status of a read whose response has no decoded content. One that is not of the store's protocol counts as none.
+static StoreStatus failedRead(StoreStatus status)
 {
-    response = json::parse(text, nullptr, false);
-    return response.is_object();
+    return status == StoreStatus::Ok ? StoreStatus::Unavailable : status;
 }
 
 static Row toRow(const json &item)
 {
-    return {item.value("key", ""), item.value("version", std::uint64_t{0}), item.value("value", "")};
+    return {item.value("key", ""), integerOr(item, "version", std::uint64_t{0}), item.value("value", "")};
+}
+
+static RegisteredInstance toInstance(const json &item)
+{
+    RegisteredInstance instance;
+    instance.id = item.at("id").get<std::string>();
+    instance.role = item.value("role", "");
+    instance.isLeaving = item.value("state", "") == "leaving";
+    instance.address = {item.at("host").get<std::string>(), integerOr(item, "port", std::uint16_t{0})};
+    in_addr parsed{};
+    const bool isUsable = !instance.id.empty() && instance.address.port > 0 && inet_pton(AF_INET, instance.address.host.c_str(), &parsed) == 1;
+    return isUsable ? instance : throw std::invalid_argument("no instance");
 }
 
 /// Percent-encodes all characters except the unreserved ones of RFC 3986.
@@ -136,14 +149,11 @@
     HttpClientRequest request;
     request.path = absl::StrCat("/tables/", table, "/rows/", percentEncode(key));
     d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
-        json response;
-        if (status != StoreStatus::Ok) {
-            return done(status, {});
-        }
-        if (!parseResponse(body, response)) {
-            return done(StoreStatus::Unavailable, {});
-        }
-        done(StoreStatus::Ok, toRow(response));
+        Row row;
+        const bool isDecoded = status == StoreStatus::Ok && decodeObject(body, [&row](const json &response) {
+                                   row = toRow(response);
+                               });
+        done(isDecoded ? status : failedRead(status), row);
     });
 }
 
@@ -153,17 +163,16 @@
     HttpClientRequest request;
     request.path = absl::StrCat("/tables/", table, "/rows?from=", percentEncode(from), "&to=", percentEncode(to), "&limit=", limit);
     d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
-        json response;
-        if (status == StoreStatus::Ok && !parseResponse(body, response)) {
-            status = StoreStatus::Unavailable;
-        }
         std::vector<Row> rows;
-        if (status == StoreStatus::Ok && response.contains("rows")) {
-            for (const json &item : response["rows"]) {
-                rows.push_back(toRow(item));
-            }
+        const bool isDecoded = status == StoreStatus::Ok && decodeObject(body, [&rows](const json &response) {
+                                   for (const json &item : arrayOr(response, "rows")) {
+                                       rows.push_back(toRow(item));
+                                   }
+                               });
+        if (!isDecoded) {
+            rows.clear();
         }
-        done(status, rows);
+        done(isDecoded ? status : failedRead(status), rows);
     });
 }
 
@@ -206,23 +215,16 @@
     HttpClientRequest request;
     request.path = "/membership";
     d->call(Access::Read, std::move(request), [done = std::move(done)](StoreStatus status, const std::string &body) {
-        json response;
-        if (status == StoreStatus::Ok && !parseResponse(body, response)) {
-            status = StoreStatus::Unavailable;
-        }
         std::vector<RegisteredInstance> instances;
-        if (status != StoreStatus::Ok || !response.contains("instances")) {
-            return done(status, instances);
-        }
-        for (const json &item : response["instances"]) {
-            RegisteredInstance instance;
-            instance.id = item.value("id", "");
-            instance.role = item.value("role", "");
-            instance.address = {item.value("host", ""), item.value("port", std::uint16_t{0})};
-            instance.isLeaving = item.value("state", "") == "leaving";
-            instances.push_back(std::move(instance));
-        }
-        done(status, instances);
+        const bool isDecoded = status == StoreStatus::Ok && decodeObject(body, [&instances](const json &response) {
+                                   for (const json &item : arrayOr(response, "instances")) {
+                                       // Other writers add to the list too: an entry that names no instance hides no other.
+                                       decodeItem(item, [&instances](const json &entry) {
+                                           instances.push_back(toInstance(entry));
+                                       });
+                                   }
+                               });
+        done(isDecoded ? status : failedRead(status), instances);
     });
 }
 
--- a/stand-ins/platform.cpp
+++ b/stand-ins/platform.cpp
@@ -330,6 +330,11 @@
     return d->writes;
 }
 
+void Platform::writeRow(const std::string &table, const std::string &key, const std::string &value)
+{
+    put(d->tables[table], key, value);
+}
+
 void Platform::listInstance(const std::string &id, const std::string &role, const Address &address, bool isLeaving)
 {
     json item = {{"id", id}, {"role", role}, {"host", address.host}, {"port", address.port}, {"state", isLeaving ? "leaving" : "live"}};
--- a/stand-ins/platform.h
+++ b/stand-ins/platform.h
@@ -47,6 +47,8 @@
     /// to /faults and /counters don't count.
     std::uint64_t reads() const;
     std::uint64_t writes() const;
+    /// Writes a row whatever its version, as another writer may.
+    void writeRow(const std::string &table, const std::string &key, const std::string &value);
     /// Adds an instance to the membership list or replaces it; visible at once unless membershipLag is set.
     void listInstance(const std::string &id, const std::string &role, const Address &address, bool isLeaving);
 
