A lease whose row can't be read is acquired, without calls to the store in a loop

Seen with OddRowsTest's values in the lease's row: it was never acquired within 20 s, and the entry made some 500,000 calls to the store. Cause: applyRow() skipped the version of a row that it could not read. The write was conditional on an absent row, was refused (412), and was sent again at once. An end years away kept all entries waiting for it, and the lowest one overflowed. Change: the version always counts; a lease ends at most its length after that version was first read, as no holder goes on for longer without another write. Times of the store and of crash notices are bounded, so that sums don't overflow.

--- a/src/relay/crash_store.cpp
+++ b/src/relay/crash_store.cpp
@@ -158,7 +158,8 @@
 {
     const std::vector<std::string> words = splitList(row.value, ' ');
     std::int64_t writtenMs = 0;
-    if (words.size() != 3 || !parseNumber(words[0], notice.input) || !parseNumber(words[1], notice.crash) || !parseNumber(words[2], writtenMs)) {
+    if (words.size() != 3 || !parseNumber(words[0], notice.input) || !parseNumber(words[1], notice.crash) || !parseNumber(words[2], writtenMs)
+        || writtenMs < 0) {
         return false;
     }
     const std::int64_t oldest = std::chrono::duration_cast<milliseconds>(std::chrono::hours(24)).count();
--- a/src/relay/lease_manager.cpp
+++ b/src/relay/lease_manager.cpp
@@ -24,7 +24,7 @@
 struct LeaseRow {
     std::uint64_t version = 0; ///< version of the row; 0: it does not exist
     std::string holder;        ///< id of the entry that holds the lease
-    std::int64_t endsAtMs = 0; ///< expiry on the store's clock, milliseconds
+    std::int64_t endsAtMs = 0; ///< expiry on the store's clock, milliseconds; if the value can't be read: the latest one possible
     std::string host{};        ///< host of the holder, from a separate row
 };
 
@@ -44,10 +44,12 @@
     std::unique_ptr<Timer> next{};
     HttpCallPtr call{};
     LeaseRow row{};
-    std::int64_t storeTimeMs = 0; ///< the store's clock in its last response
-    TimePoint storeTimeAt{};      ///< when that response was received, on the own clock
-    TimePoint sentAt{};           ///< when the pending call was sent
-    TimePoint heldUntil{};        ///< on the own clock; in the past: not held
+    std::int64_t storeTimeMs = 0;  ///< the store's clock in its last response
+    TimePoint storeTimeAt{};       ///< when that response was received, on the own clock
+    TimePoint sentAt{};            ///< when the pending call was sent
+    std::uint64_t seenVersion = 0; ///< version of the row in the last read
+    TimePoint seenAt{};            ///< when that version was read first
+    TimePoint heldUntil{};         ///< on the own clock; in the past: not held
     bool wasHeld = false;
     bool isReleased = false; ///< this entry is stopping and does not acquire the lease any more
 
@@ -201,13 +203,21 @@
         if (found.key == hostKey(name) && !found.isDeleted) {
             row.host = found.value;
         }
-        const std::vector<std::string> words = splitList(found.value, ' ');
-        if (found.key != name || words.size() != 2 || found.isDeleted) {
+        if (found.key != name || found.isDeleted) {
             continue;
         }
+        // The version counts whatever the value is: without it, each write of a row that can't be read conflicts.
         row.version = found.version;
-        row.holder = words[0];
-        parseNumber(words[1], row.endsAtMs);
+        const std::int64_t latestEndMs = page.storeTimeMs + leaseDuration.count();
+        const std::vector<std::string> words = splitList(found.value, ' ');
+        std::int64_t endsAtMs = 0;
+        const bool isReadable = words.size() == 2 && parseNumber(words[1], endsAtMs);
+        row.holder = isReadable ? words[0] : "";
+        row.endsAtMs = isReadable ? std::clamp<std::int64_t>(endsAtMs, 0, latestEndMs) : latestEndMs;
+    }
+    if (row.version != seenVersion) {
+        seenVersion = row.version;
+        seenAt = context.clock.now();
     }
 }
 
@@ -219,7 +229,9 @@
     }
     // A lease under this entry's own id that it does not hold was acquired by its previous process, which has ended.
     const bool isOwn = row.holder == context.settings.id;
-    const std::int64_t left = row.endsAtMs - storeTime();
+    // No holder goes on for longer than a lease without another write, whatever end the row names.
+    const auto unchangedFor = std::chrono::duration_cast<milliseconds>(context.clock.now() - seenAt);
+    const std::int64_t left = std::min(row.endsAtMs - storeTime(), (leaseDuration - unchangedFor).count());
     if (!isOwn && !row.host.empty()) {
         handlers.onHolderHost(row.host);
     }
