--- a/stand-ins/raw_target.cpp
+++ b/stand-ins/raw_target.cpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <set>
+#include <stdexcept>
 
 namespace Parsleytrail::StandIn
 {
@@ -43,8 +44,9 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        listen(m_socket, SOMAXCONN);
+        if (bind(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || listen(m_socket, SOMAXCONN) != 0) {
+            throw std::runtime_error("no port to listen on");
+        }
         const auto onReadable = [](evutil_socket_t listening, short, void *arg) {
             const int accepted = accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (accepted >= 0) {
