Requests without a response get one before a stopping relay or entry ends

Callers saw, in a report on systems of this kind: requests that came late in a planned stop were passed on and cut without an answer, also such as may not be repeated (LOST). Tried on with targets that don't answer and timeouts longer than the grace: 28 of 44 requests before and during a relay's stop got no answer; entries cut what was open at drain-timeout; a relay with nothing else open cut requests that were still being received 2.6 s after the signal. Cause: the stop waited up to a time and then ended; nobody told the callers, and what was being received did not count as open. Change: answerBy, 200 ms (entry: 500 ms) before the end: requests without a response fail then (502, entry 504, outcome unknown) or are refused as not run (503); incomplete requests count as open and are refused then. Begun responses are cut as before.

--- a/src/entry/admission_queue.cpp
+++ b/src/entry/admission_queue.cpp
@@ -134,10 +134,13 @@
 void AdmissionQueue::tick()
 {
     const TimePoint now = d->context.clock.now();
+    const bool isEnding = now >= d->context.answerBy; // what starts now would be cut
     for (auto &[model, queue] : d->queues) {
-        d->startNext(queue);
+        if (!isEnding) {
+            d->startNext(queue);
+        }
         std::vector<Callbacks> expired;
-        const std::vector<std::size_t> indices = expiredRequests(queue.waiting, now);
+        const std::vector<std::size_t> indices = expiredRequests(queue.waiting, isEnding ? TimePoint::max() : now);
         for (auto index = indices.rbegin(); index != indices.rend(); ++index) {
             expired.push_back(queue.removeWaiting(*index));
         }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -18,7 +18,9 @@
 
 constexpr milliseconds tickInterval{50};
 constexpr milliseconds sidecarAnnounceInterval{10000}; ///< between announcements of this entry to sidecars
-constexpr milliseconds finalWriteTimeout{5000};        ///< longest wait for writes to the store at the end of a drain
+/// Requests that are still open get a failure this long before drain-timeout, so that it reaches their callers.
+constexpr milliseconds failureSendTime{500};
+constexpr milliseconds finalWriteTimeout{5000}; ///< longest wait for writes to the store at the end of a drain
 
 // [SECTION] Components
 
@@ -522,6 +524,7 @@
     logEvent(Event::DrainStarted, {{"open", std::to_string(d->openRequestCount())}});
     d->context->isDraining = true;
     d->drainStartedAt = d->clock.now();
+    d->context->answerBy = d->drainStartedAt + d->settings.drainTimeout - failureSendTime;
     d->drained = std::move(finished);
     d->announce();
     d->drainTimer.startRepeating(milliseconds(100));
--- a/src/entry/service_calls.cpp
+++ b/src/entry/service_calls.cpp
@@ -17,7 +17,8 @@
 
 constexpr std::size_t bodyFrameBytes = 32 << 10; ///< request body bytes per frame
 constexpr std::uint32_t maxTargetsPerCall = 3;   ///< attempts of one call, each at another target
-constexpr milliseconds deadlineMargin{500};      ///< lets the sidecar's own deadline expire first: its failure report is more precise
+constexpr const char *stoppingText = "this entry stopped before the target answered";
+constexpr milliseconds deadlineMargin{500}; ///< lets the sidecar's own deadline expire first: its failure report is more precise
 
 namespace
 {
@@ -517,9 +518,10 @@
 void ServiceCalls::tick()
 {
     const TimePoint now = d->context.clock.now();
+    const bool isEnding = now >= d->context.answerBy;
     std::vector<RequestId> late;
     for (const auto &[request, call] : d->calls) {
-        if (now - call.openedAt >= call.deadline + deadlineMargin) {
+        if (isEnding || now - call.openedAt >= call.deadline + deadlineMargin) {
             late.push_back(request);
         }
     }
@@ -527,9 +529,9 @@
         OpenCall *call = d->find(request);
         d->cancelAtTarget(*call);
         if (call->hasHead) {
-            d->handleFailure(request, Outcome::Run, {"answer in time", call->target.value, "the deadline passed"});
+            d->handleFailure(request, Outcome::Run, {"answer in time", call->target.value, isEnding ? stoppingText : "the deadline passed"});
         } else {
-            d->refuse(request, {504, "", "the deadline passed before the target answered", Outcome::Unknown});
+            d->refuse(request, {504, "", isEnding ? stoppingText : "the deadline passed before the target answered", Outcome::Unknown});
         }
     }
 }
--- a/src/entry/streams.cpp
+++ b/src/entry/streams.cpp
@@ -648,10 +648,11 @@
         if (!stream) {
             continue;
         }
-        if (now - stream->openedAt >= stream->request.deadline) {
+        const bool isEnding = now >= d->context.answerBy;
+        if (isEnding || now - stream->openedAt >= stream->request.deadline) {
             StreamFailure timedOut;
             timedOut.isTimeout = true;
-            d->fail(*stream, {"answer in time", "", "the deadline passed"}, timedOut);
+            d->fail(*stream, {"answer in time", "", isEnding ? "this entry is stopping" : "the deadline passed"}, timedOut);
         } else if (stream->waitingSince == TimePoint{}) {
             d->checkProgress(*stream, now);
         } else if (now - stream->waitingSince >= (stream->emitted.empty() ? maxWaitBeforeFirstToken : maxWaitAfterFirstToken)) {
--- a/src/relay/call_forwarding.cpp
+++ b/src/relay/call_forwarding.cpp
@@ -310,7 +310,7 @@
 
 void CallForwarding::checkTimeouts(TimePoint now)
 {
-    if (m_isOver || now < m_request.deadline) {
+    if (m_isOver || failAtStop(now) || now < m_request.deadline) {
         return;
     }
     // The request may still run: closing the connection does not show whether the target stops.
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -23,7 +23,7 @@
 constexpr int maxReceiveTimeouts = 20;
 /// Retry-After of a refusal for want of memory: callers that hold it have to send or read something within some seconds, and most do so
 /// at once.
-constexpr std::string_view memoryRetryAfterSeconds = "0.5";
+constexpr std::string_view refusalRetryAfterSeconds = "0.5";
 constexpr std::string_view memoryRefusalText = "no memory for the request now";
 
 /// Share of all places that is freed when there is none for another connection: finding the connections takes a look at all.
@@ -178,7 +178,7 @@
     ++owner->openExchanges;
     exchange->d->closes = true;
     if (status == 503) {
-        exchange->reply(status, {{"Retry-After", std::string(memoryRetryAfterSeconds)}}, text);
+        exchange->reply(status, {{"Retry-After", std::string(refusalRetryAfterSeconds)}}, text);
     } else {
         exchange->reply(status, {}, text);
     }
@@ -422,6 +422,24 @@
     }
 }
 
+std::size_t CallerSessions::incompleteRequests() const
+{
+    const auto count = std::count_if(d->sessions.begin(), d->sessions.end(), [](const auto &session) {
+        return session->isReceiving();
+    });
+    return static_cast<std::size_t>(count);
+}
+
+void CallerSessions::refuseIncomplete()
+{
+    const auto sessions = d->sessions;
+    for (const auto &session : sessions) {
+        if (session->isReceiving()) {
+            session->refuse(503, "stopping");
+        }
+    }
+}
+
 std::size_t CallerSessions::unsentResponses() const
 {
     const auto isUnsent = [](const ConnectionPtr &connection) {
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -89,6 +89,10 @@
     void beginDrain();
     /// Closes connections on which no request is being received or answered, and no response is still being sent.
     void closeIdle();
+    /// Number of requests of which a part was received.
+    std::size_t incompleteRequests() const;
+    /// Refuses requests that are not complete yet, and thus certainly did not run: this process ends.
+    void refuseIncomplete();
     /// Number of complete responses that have not been sent to their callers yet.
     std::size_t unsentResponses() const;
     /// Number of connections that were closed so far because of maxConnections.
--- a/src/relay/context.h
+++ b/src/relay/context.h
@@ -99,15 +99,16 @@
     std::unordered_map<ServiceName, DataCenterChoice> dataCenterChoices{};
     std::mt19937_64 random{}; ///< seeded by the id and the start time, so that a run can be reproduced
     RelayMetrics metrics{};
-    double averageEventGapMs = 50;       ///< moving average of the time between two events of a stream, in milliseconds
-    DelayEstimate firstEventDelay{};     ///< from sending a request to the first event, of streams that began here
-    CrashingRequests crashingRequests{}; ///< requests, and parts of prompts, that were open at crashes of targets
-    TimePoint peersHeardAt{};            ///< when another entry was last known to be reachable; zero: never
-    EntryCount entryCount{};             ///< number of entries that share budgets
-    WorkspaceShares workspaces{};        ///< tokens that workspaces started lately; see relay/workspace_reports.h
-    bool isReportingWorkspaces = false;  ///< the last message's state had a list of workspaces
-    bool hasRetryShare = false;          ///< this entry was granted its full share of the retry budgets
-    LostEngines lostEngines{};           ///< engines whose streams are being recovered
+    double averageEventGapMs = 50;         ///< moving average of the time between two events of a stream, in milliseconds
+    DelayEstimate firstEventDelay{};       ///< from sending a request to the first event, of streams that began here
+    CrashingRequests crashingRequests{};   ///< requests, and parts of prompts, that were open at crashes of targets
+    TimePoint peersHeardAt{};              ///< when another entry was last known to be reachable; zero: never
+    EntryCount entryCount{};               ///< number of entries that share budgets
+    WorkspaceShares workspaces{};          ///< tokens that workspaces started lately; see relay/workspace_reports.h
+    bool isReportingWorkspaces = false;    ///< the last message's state had a list of workspaces
+    bool hasRetryShare = false;            ///< this entry was granted its full share of the retry budgets
+    LostEngines lostEngines{};             ///< engines whose streams are being recovered
+    TimePoint answerBy = TimePoint::max(); ///< while this process stops: when requests without a response get a failure
 };
 
 /// Records how many other entries are reachable now; the highest number counts.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -41,6 +41,8 @@
 /// Requests that are still open this long before the platform kills the process are cut, so that it ends by itself.
 constexpr milliseconds stopMargin{350};
 constexpr milliseconds drainCheckInterval{50};
+/// Requests that have no response by then get a failure this long before the others are cut, so that it reaches their callers.
+constexpr milliseconds failureSendTime{200};
 /// Time after which a process without a configuration, or with one that may be outdated, is expected to have the current one. The
 /// store's first response takes a fraction of a second, but callers retry only once, and may do so early: a request that was
 /// refused is late in any case.
@@ -583,6 +585,7 @@
     data.isDraining = true;
     data.finished = std::move(finished);
     data.drainStartedAt = data.context.clock.now();
+    data.context.answerBy = data.drainStartedAt + std::max(data.context.settings.stopTimeout - stopMargin, acceptTimeAfterStop) - failureSendTime;
     data.lease->release();
     data.sessions->beginDrain();
     data.streamQueue->drain();
@@ -597,8 +600,11 @@
     }
     listener->close();
     sessions->closeIdle();
+    if (context.clock.now() >= context.answerBy) {
+        sessions->refuseIncomplete();
+    }
     const bool isTimeUp = since > context.settings.stopTimeout - stopMargin;
-    const std::size_t open = sessions->openExchanges() + sessions->unsentResponses();
+    const std::size_t open = sessions->openExchanges() + sessions->incompleteRequests() + sessions->unsentResponses();
     if (open > 0 && !isTimeUp) {
         return;
     }
--- a/src/relay/stream_forwarding.cpp
+++ b/src/relay/stream_forwarding.cpp
@@ -961,7 +961,7 @@
 
 void StreamForwarding::checkTimeouts(TimePoint now)
 {
-    if (m_isOver || m_queueTicket != 0) {
+    if (m_isOver || m_queueTicket != 0 || failAtStop(now)) {
         return; // the queue refuses a waiting request before its deadline
     }
     if (now >= m_request.deadline) {
--- a/src/relay/target_forwarding.cpp
+++ b/src/relay/target_forwarding.cpp
@@ -9,6 +9,8 @@
 /// A request that crashes targets does so when they begin to run it. A stream that has continued past this many events is not
 /// the cause of a crash: otherwise all streams of a crashed engine would be suspects.
 constexpr int maxEventsOfSuspect = 2;
+/// Retry-After of requests that the end of this process prevents: other entries serve them at once.
+constexpr milliseconds stopRetryAfter{100};
 
 TargetForwarding::TargetForwarding(RelayContext &context, ForwardedRequest request, const ForwardingHooks &hooks)
     : m_context(context)
@@ -139,6 +141,20 @@
               {"parts", run.events <= maxEventsOfSuspect ? fingerprintsText(sharedPartFingerprints(m_context, m_request)) : std::string()}});
 }
 
+bool TargetForwarding::failAtStop(TimePoint now)
+{
+    if (now < m_context.answerBy || m_request.exchange->isBegun()) {
+        return false;
+    }
+    if (m_mayHaveRun || m_exchange) {
+        failRequest(m_context, m_request, "stopping", "", m_attempts);
+    } else {
+        refuseRequest(m_context, m_request, {"stopping", stopRetryAfter}, m_attempts);
+    }
+    end();
+    return true;
+}
+
 void TargetForwarding::cancelExchange()
 {
     if (m_exchange) {
--- a/src/relay/target_forwarding.h
+++ b/src/relay/target_forwarding.h
@@ -33,6 +33,8 @@
     void sendTo(const TargetId &target, const Address &address, const std::vector<AddedField> &added);
     /// Cancels the exchange with a target, if there is one.
     void cancelExchange();
+    /// Fails the request if it has no response yet and the process ends before long: its caller learns whether it may have run. Returns whether it did.
+    bool failAtStop(TimePoint now);
     /// Ends the attempt and the forwarding.
     void end();
     /// Charges a response that is buffered until it is complete.
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -80,6 +80,45 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(open_requests_have_answers_when_an_entry_ends)
+{
+    // The application and the engines answer nothing until drain-timeout. Guards against requests, also such as may not be repeated, that are
+    // cut without an answer when the entry ends.
+    constexpr milliseconds drainTimeout{1500};
+    ClusterOptions options;
+    options.tuneEntry = [drainTimeout](EntrySettings &entry) {
+        entry.drainTimeout = drainTimeout;
+    };
+    Cluster cluster(options);
+    cluster.waitReady(7);
+    for (const auto &engine : cluster.engines) {
+        engine->setHanging(true);
+    }
+    cluster.applications[0]->setResponseDelay(milliseconds(60000));
+    const auto call = cluster.sendAsync(post("/services/booking/bookings", R"({"wheel": "w1"})"));
+    const AnswerPtr answer = cluster.requestCompletion("drums", 4);
+    cluster.idle(milliseconds(200));
+    bool isFinished = false;
+    cluster.entries[0]->drain([&] {
+        isFinished = true;
+    });
+    const HttpResult late = cluster.send(post("/services/booking/bookings", R"({"wheel": "w2"})"));
+    BOOST_TEST(late.status == 503);
+    BOOST_TEST(findHeader(late.headers, "parsley-outcome") == "not-run");
+    cluster.wait("the entry to end", [&] {
+        return isFinished;
+    });
+    cluster.killEntry(0);
+    cluster.wait("the ends of the connections", [&] {
+        return call->has_value() && answer->isEnded;
+    });
+    BOOST_REQUIRE(!(*call)->failure);
+    BOOST_TEST((*call)->status == 504);
+    BOOST_TEST(findHeader((*call)->headers, "parsley-outcome") == "unknown");
+    BOOST_TEST(!answer->failure);
+    BOOST_TEST(answer->status == 504);
+}
+
 BOOST_AUTO_TEST_CASE(a_sidecar_stops)
 {
     // The sidecar of a stage receives SIGTERM in the middle of an answer. The stream continues there to its end; new streams go to
