--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,13 +3,20 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-if [ "${1:-}" = --help ]; then
-    echo "Usage: tools/lint.sh [--fix]: clang-format and clang-tidy over all sources; --fix formats them"
-    exit 0
-fi
+usage="Usage: tools/lint.sh [--fix] [--jobs N]: clang-format and clang-tidy over all sources; --fix formats them; N processes at a time (default: one for each core)"
+jobs=$(nproc)
+fixes=
+while [ $# -gt 0 ]; do
+    case "$1" in
+    --help) echo "$usage"; exit 0 ;;
+    --fix) fixes=yes; shift ;;
+    --jobs) jobs=${2:?$usage}; shift 2 ;;
+    *) echo "$usage" >&2; exit 2 ;;
+    esac
+done
 
 mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'stand-ins/*.h' 'stand-ins/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp' 'lab/*.h' 'lab/*.cpp')
-if [ "${1:-}" = --fix ]; then
+if [ -n "$fixes" ]; then
     clang-format -i "${files[@]}"
 fi
 clang-format --dry-run --Werror "${files[@]}"
@@ -26,6 +33,6 @@
 
 # clang-tidy uses the compilation database of the regular build. The fuzzers are left out: they are built with another compiler.
 cmake -S . -B build -G Ninja >/dev/null
-printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -v '/fuzz_' | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>/tmp/parsley-lint.$$ || { rm -f /tmp/parsley-lint.$$; exit 1; }
+printf '%s\n' "${files[@]}" | grep '\.cpp$' | grep -v '/fuzz_' | xargs -P "$jobs" -n 2 clang-tidy -p build --quiet 2>/tmp/parsley-lint.$$ || { rm -f /tmp/parsley-lint.$$; exit 1; }
 rm -f /tmp/parsley-lint.$$
 echo "lint: clean"
